--- /dev/null
+++ b/cmd/hibiscusrockd/main.go
@@ -0,0 +1,10 @@
+// Command hibiscusrockd is the node on a backend server host.
+package main
+
+import (
+	"os"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args)) }
--- /dev/null
+++ b/pkg/catalog/catalog.go
@@ -0,0 +1,393 @@
+// Package catalog keeps bundles, drafts, releases and the reports on moves on
+// the platform.
+package catalog
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
+	"github.com/hibiscusrock/hibiscusrock/pkg/distribution"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+	"github.com/hibiscusrock/hibiscusrock/pkg/keys"
+	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+const (
+	// checkpointInterval is the number of releases between two whole manifests.
+	checkpointInterval = 32
+	writesPerBatch     = 64
+	signAttempts       = 5
+	listLimit          = 1000
+)
+
+// Catalog reads and writes the project's documents on the platform.
+type Catalog struct {
+	client *platform.Client
+}
+
+// New returns a catalog.
+func New(client *platform.Client) *Catalog { return &Catalog{client: client} }
+
+// Decode decodes a signed release.
+func Decode(data []byte) (*bundle.Document, error) {
+	signed := &wire.SignedRelease{}
+	if err := proto.Unmarshal(data, signed); err != nil {
+		return nil, fault.Wrap(err, fault.KindInvalid, "the release cannot be decoded", "put the bundle again")
+	}
+	return bundle.Open(signed)
+}
+
+// Head returns the newest signed-off release, or nil, and the revision of its key.
+func (c *Catalog) Head(ctx context.Context) (*bundle.Document, int64, error) {
+	kv, found, err := c.client.Get(ctx, platform.HeadKey)
+	if err != nil || !found {
+		return nil, 0, err
+	}
+	document, err := Decode(kv.Value)
+	return document, kv.ModRevision, err
+}
+
+// Release returns a release of the history.
+func (c *Catalog) Release(ctx context.Context, sequence uint64) (*bundle.Document, error) {
+	return c.document(ctx, platform.ReleaseKey(sequence), fmt.Sprintf("release %d", sequence))
+}
+
+// Draft returns a draft by its identifier.
+func (c *Catalog) Draft(ctx context.Context, id string) (*bundle.Document, error) {
+	return c.document(ctx, platform.DraftKey(id), "draft "+id)
+}
+
+func (c *Catalog) document(ctx context.Context, key, name string) (*bundle.Document, error) {
+	kv, found, err := c.client.Get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, fault.New(fault.KindMissing, "there is no "+name, "list what there is with 'hibiscusrock bundle list'")
+	}
+	return Decode(kv.Value)
+}
+
+// Manifest returns the whole manifest of a release: the last checkpoint before
+// it with the changes since.
+func (c *Catalog) Manifest(ctx context.Context, document *bundle.Document) (bundle.Manifest, error) {
+	if document == nil {
+		return nil, nil
+	}
+	start := (document.Sequence()-1)/checkpointInterval*checkpointInterval + 1
+	first, err := c.orRelease(ctx, document, start)
+	if err != nil {
+		return nil, err
+	}
+	kv, found, err := c.client.Get(ctx, platform.ManifestKey(first.Release().GetManifestRoot()))
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, fault.New(fault.KindMissing, "the manifest is not on the platform", "put the bundle again")
+	}
+	entries := &wire.Manifest{}
+	if err := proto.Unmarshal(kv.Value, entries); err != nil {
+		return nil, fault.Wrap(err, fault.KindInvalid, "the manifest cannot be decoded", "put the bundle again")
+	}
+	manifest := bundle.NewManifest(entries.GetEntries())
+	for sequence := start + 1; sequence <= document.Sequence(); sequence++ {
+		next, err := c.orRelease(ctx, document, sequence)
+		if err != nil {
+			return nil, err
+		}
+		manifest = manifest.Next(next.Release())
+	}
+	return manifest, nil
+}
+
+func (c *Catalog) orRelease(ctx context.Context, document *bundle.Document, sequence uint64) (*bundle.Document, error) {
+	if sequence == document.Sequence() {
+		return document, nil
+	}
+	return c.Release(ctx, sequence)
+}
+
+// Parts returns parts by hash, in the order asked for.
+func (c *Catalog) Parts(ctx context.Context, hashes [][]byte) ([][]byte, error) {
+	parts := make([][]byte, 0, len(hashes))
+	for _, hash := range hashes {
+		kv, found, err := c.client.Get(ctx, platform.PartKey(hash))
+		if err != nil {
+			return nil, err
+		}
+		if !found {
+			return nil, fault.New(fault.KindMissing, "a part of the release is not on the platform", "put the bundle again")
+		}
+		parts = append(parts, kv.Value)
+	}
+	return parts, nil
+}
+
+// Source returns the catalog as the source of a node's releases.
+func (c *Catalog) Source() distribution.Source {
+	return distribution.Source{
+		Release: func(ctx context.Context, sequence uint64) (*wire.SignedRelease, error) {
+			document, err := c.Release(ctx, sequence)
+			if err != nil {
+				return nil, err
+			}
+			return document.Signed(), nil
+		},
+		Manifest: c.Manifest,
+		Parts:    c.Parts,
+	}
+}
+
+// Bundle puts the bundle of a release together again.
+func (c *Catalog) Bundle(ctx context.Context, document *bundle.Document) (*bundle.Bundle, error) {
+	manifest, err := c.Manifest(ctx, document)
+	if err != nil {
+		return nil, err
+	}
+	var parts []bundle.Part
+	for _, entry := range manifest.Entries() {
+		data, err := c.Parts(ctx, [][]byte{entry.GetHash()})
+		if err != nil {
+			return nil, err
+		}
+		part, err := bundle.DecodePart(data[0])
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, part)
+	}
+	return bundle.Join(document.Release().GetBundleName(), document.Release().GetDataCentres(), parts), nil
+}
+
+// Put stores a bundle as a draft of the release that follows the newest one.
+func (c *Catalog) Put(ctx context.Context, b *bundle.Bundle, author string, now time.Time) (*bundle.Document, error) {
+	parent, _, err := c.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	parentManifest, err := c.Manifest(ctx, parent)
+	if err != nil {
+		return nil, err
+	}
+	draft, err := bundle.NewDraft(b, parent, parentManifest, author, now)
+	if err != nil {
+		return nil, err
+	}
+	return draft.Document(), c.store(ctx, draft)
+}
+
+func (c *Catalog) store(ctx context.Context, draft *bundle.Draft) error {
+	var writes []platform.Write
+	for id, data := range draft.Parts() {
+		hash, _ := hex.DecodeString(id)
+		writes = append(writes, platform.Write{Key: platform.PartKey(hash), Value: data})
+	}
+	for batch := range slices.Chunk(writes, writesPerBatch) {
+		if err := c.putBatch(ctx, batch); err != nil {
+			return err
+		}
+	}
+	if draft.Document().Sequence()%checkpointInterval == 1 {
+		data, err := proto.Marshal(&wire.Manifest{Entries: draft.Manifest().Entries()})
+		if err != nil {
+			return fault.Wrap(err, fault.KindInternal, "cannot encode the manifest", "")
+		}
+		if err := c.client.Put(ctx, platform.ManifestKey(draft.Manifest().Root()), data, 0); err != nil {
+			return err
+		}
+	}
+	data, err := proto.Marshal(draft.Document().Signed())
+	if err != nil {
+		return fault.Wrap(err, fault.KindInternal, "cannot encode the draft", "")
+	}
+	return c.client.Put(ctx, platform.DraftKey(draft.Document().ID()), data, 0)
+}
+
+// putBatch writes parts, which never change under one key, in one transaction.
+func (c *Catalog) putBatch(ctx context.Context, batch []platform.Write) error {
+	done, _, err := c.client.Swap(ctx, 0, batch...)
+	if err != nil || done {
+		return err
+	}
+	for _, w := range batch {
+		if err := c.client.Put(ctx, w.Key, w.Value, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Sign adds a signature to a draft, beside those that others add at the same time.
+func (c *Catalog) Sign(ctx context.Context, id string, key *keys.Key) (*bundle.Document, error) {
+	for range signAttempts {
+		kv, found, err := c.client.Get(ctx, platform.DraftKey(id))
+		if err != nil {
+			return nil, err
+		}
+		if !found {
+			return nil, fault.New(fault.KindMissing, "there is no draft "+id, "put the bundle first")
+		}
+		document, err := Decode(kv.Value)
+		if err != nil {
+			return nil, err
+		}
+		document.Sign(key)
+		data, err := proto.Marshal(document.Signed())
+		if err != nil {
+			return nil, fault.Wrap(err, fault.KindInternal, "cannot encode the draft", "")
+		}
+		swapped, _, err := c.client.Swap(ctx, kv.ModRevision, platform.Write{Key: platform.DraftKey(id), Value: data})
+		if err != nil || swapped {
+			return document, err
+		}
+	}
+	return nil, fault.New(fault.KindConflict, "the draft kept changing while it was signed", "sign again")
+}
+
+// Start makes a signed draft the newest release. Operators that race get a conflict.
+func (c *Catalog) Start(ctx context.Context, id string) (*bundle.Document, error) {
+	document, err := c.Draft(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	head, revision, err := c.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if slices.Equal(head.Hash(), document.Hash()) {
+		return document, nil
+	}
+	if document.Sequence() != head.Sequence()+1 || !slices.Equal(document.Release().GetParentHash(), head.Hash()) {
+		return nil, conflict(head)
+	}
+	data, err := proto.Marshal(document.Signed())
+	if err != nil {
+		return nil, fault.Wrap(err, fault.KindInternal, "cannot encode the release", "")
+	}
+	swapped, present, err := c.client.Swap(ctx, revision,
+		platform.Write{Key: platform.HeadKey, Value: data},
+		platform.Write{Key: platform.ReleaseKey(document.Sequence()), Value: data})
+	if err != nil {
+		return c.settleStart(ctx, document, err)
+	}
+	if !swapped {
+		other, err := Decode(present.Value)
+		if err != nil {
+			return nil, err
+		}
+		return nil, conflict(other)
+	}
+	return document, nil
+}
+
+// settleStart finds out whether a write whose answer was lost took effect.
+func (c *Catalog) settleStart(ctx context.Context, document *bundle.Document, cause error) (*bundle.Document, error) {
+	head, _, err := c.Head(ctx)
+	if err != nil {
+		return nil, fault.Wrap(cause, fault.KindUnavailable, "it is not known whether the rollout started", "run 'hibiscusrock rollout start' with the same draft again; it is safe to repeat")
+	}
+	if slices.Equal(head.Hash(), document.Hash()) {
+		return document, nil
+	}
+	return nil, cause
+}
+
+func conflict(head *bundle.Document) error {
+	message := fmt.Sprintf("release %d by %s came first", head.Sequence(), head.Release().GetAuthor())
+	return fault.New(fault.KindConflict, message, "put the bundle again, so that it follows that release, and have it signed")
+}
+
+// Back stores the contents of an earlier release as a new draft.
+func (c *Catalog) Back(ctx context.Context, sequence uint64, author string, now time.Time) (*bundle.Document, error) {
+	earlier, err := c.Release(ctx, sequence)
+	if err != nil {
+		return nil, err
+	}
+	b, err := c.Bundle(ctx, earlier)
+	if err != nil {
+		return nil, err
+	}
+	for name, s := range b.Services {
+		s.Move = nil
+		b.Services[name] = s
+	}
+	return c.Put(ctx, b, author, now)
+}
+
+// Releases returns the history, newest first.
+func (c *Catalog) Releases(ctx context.Context) ([]*bundle.Document, error) {
+	return c.list(ctx, platform.ReleasePrefix)
+}
+
+// Drafts returns all drafts, newest first.
+func (c *Catalog) Drafts(ctx context.Context) ([]*bundle.Document, error) {
+	return c.list(ctx, platform.DraftPrefix)
+}
+
+func (c *Catalog) list(ctx context.Context, prefix string) ([]*bundle.Document, error) {
+	kvs, err := c.client.List(ctx, prefix, listLimit)
+	if err != nil {
+		return nil, err
+	}
+	documents := make([]*bundle.Document, 0, len(kvs))
+	for _, kv := range kvs {
+		document, err := Decode(kv.Value)
+		if err != nil {
+			return nil, err
+		}
+		documents = append(documents, document)
+	}
+	slices.SortStableFunc(documents, func(a, b *bundle.Document) int {
+		return int(b.Release().GetCreatedUnixMs() - a.Release().GetCreatedUnixMs())
+	})
+	return documents, nil
+}
+
+// Report is what one data centre says about the move of one service.
+type Report struct {
+	Sequence   uint64    `json:"sequence"`
+	DataCentre string    `json:"data_centre"`
+	Service    string    `json:"service"`
+	Version    string    `json:"version"`
+	State      string    `json:"state"`
+	Permille   int       `json:"permille"`
+	Note       string    `json:"note"`
+	At         time.Time `json:"at"`
+	// Begun and Since let a new steward carry the move on.
+	Begun time.Time `json:"begun"`
+	Since time.Time `json:"since"`
+	// Halt is set once the version was taken back.
+	Halt *HaltReport `json:"halt,omitempty"`
+}
+
+// HaltReport says why a version was taken back.
+type HaltReport struct {
+	Cause      string    `json:"cause"`
+	Route      string    `json:"route"`
+	Figures    string    `json:"figures"`
+	DataCentre string    `json:"data_centre"`
+	At         time.Time `json:"at"`
+}
+
+// The states of a report.
+const (
+	StateMoving    = "moving"
+	StateDone      = "done"
+	StateTakenBack = "taken_back"
+)
+
+func reportKey(r Report) string { return platform.StatusKey(r.Sequence, r.DataCentre, r.Service) }
+
+func statusPrefix(sequence uint64) string {
+	key := platform.StatusKey(sequence, "", "")
+	return strings.TrimSuffix(key, "/")
+}
--- /dev/null
+++ b/pkg/catalog/reports.go
@@ -0,0 +1,100 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+// PutReport stores what a data centre says about a move.
+func (c *Catalog) PutReport(ctx context.Context, r Report) error {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return fault.Wrap(err, fault.KindInternal, "cannot encode a report", "")
+	}
+	return c.client.Put(ctx, reportKey(r), data, 0)
+}
+
+// Report returns what a data centre last said about a move.
+func (c *Catalog) Report(ctx context.Context, sequence uint64, dataCentre, service string) (Report, bool, error) {
+	want := Report{Sequence: sequence, DataCentre: dataCentre, Service: service}
+	kv, found, err := c.client.Get(ctx, reportKey(want))
+	if err != nil || !found {
+		return want, false, err
+	}
+	err = json.Unmarshal(kv.Value, &want)
+	return want, err == nil, nil
+}
+
+// Reports returns all reports on the moves that began with a release.
+func (c *Catalog) Reports(ctx context.Context, sequence uint64) ([]Report, error) {
+	kvs, err := c.client.List(ctx, statusPrefix(sequence), listLimit)
+	if err != nil {
+		return nil, err
+	}
+	reports := make([]Report, 0, len(kvs))
+	for _, kv := range kvs {
+		var r Report
+		if json.Unmarshal(kv.Value, &r) == nil {
+			reports = append(reports, r)
+		}
+	}
+	return reports, nil
+}
+
+// Outcome sums the reports on one move up over all data centres.
+type Outcome struct {
+	Service string   `json:"service"`
+	To      string   `json:"to"`
+	State   string   `json:"state"`
+	Reports []Report `json:"reports"`
+	// Silent names the data centres that reported nothing.
+	Silent []string `json:"silent,omitempty"`
+}
+
+// Sum returns the outcome of a move. It is done only when every data centre
+// says so, and taken back as soon as one says so.
+func Sum(move *wire.Move, dataCentres []string, reports []Report) Outcome {
+	o := Outcome{Service: move.GetService(), To: move.GetTo(), State: StateDone}
+	for _, dataCentre := range dataCentres {
+		i := slices.IndexFunc(reports, func(r Report) bool {
+			return r.DataCentre == dataCentre && r.Service == move.GetService() && r.Sequence == move.GetSequence()
+		})
+		if i < 0 {
+			o.Silent = append(o.Silent, dataCentre)
+			continue
+		}
+		o.Reports = append(o.Reports, reports[i])
+	}
+	for _, r := range o.Reports {
+		if r.State == StateTakenBack {
+			o.State = StateTakenBack
+			return o
+		}
+		if r.State != StateDone {
+			o.State = StateMoving
+		}
+	}
+	if len(o.Silent) > 0 {
+		o.State = StateMoving
+	}
+	return o
+}
+
+// Describe says plainly where the move stands.
+func (o Outcome) Describe() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s to %s: %s\n", o.Service, o.To, strings.ReplaceAll(o.State, "_", " "))
+	for _, r := range o.Reports {
+		fmt.Fprintf(&b, "  %-12s %5.1f %%  %s\n", r.DataCentre, float64(r.Permille)/10, r.Note)
+	}
+	for _, dataCentre := range o.Silent {
+		fmt.Fprintf(&b, "  %-12s not heard from\n", dataCentre)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/pkg/lab/lab.go
@@ -0,0 +1,105 @@
+// Package lab is the command line of the laboratory.
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/lab/demo"
+	"github.com/hibiscusrock/hibiscusrock/pkg/lab/deployment"
+	"github.com/hibiscusrock/hibiscusrock/pkg/lab/standin"
+)
+
+const headerTimeout = 5 * time.Second
+
+// Main runs the command line and returns the exit status.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	command := &cli.Command{
+		Name:     "lab",
+		Usage:    "stand-ins and experiments of hibiscusrock",
+		Commands: []*cli.Command{platformCommand(), backendCommand(), demoCommand()},
+	}
+	if err := command.Run(ctx, args); err != nil {
+		_, _ = os.Stderr.WriteString("lab: " + err.Error() + "\n")
+		return 1
+	}
+	return 0
+}
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run the stand-in platform",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "listen", Value: "127.0.0.1:2379"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			server := &http.Server{Addr: c.String("listen"), Handler: standin.NewPlatform(), ReadHeaderTimeout: headerTimeout}
+			stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+			defer stop()
+			if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
+				return err
+			}
+			return nil
+		},
+	}
+}
+
+func backendCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "backend",
+		Usage: "run a stand-in backend server",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "service", Required: true},
+			&cli.StringFlag{Name: "version", Required: true},
+			&cli.StringFlag{Name: "instance", Required: true},
+			&cli.StringFlag{Name: "listen", Required: true},
+			&cli.StringFlag{Name: "host-address", Required: true},
+			&cli.IntFlag{Name: "slots", Value: 6},
+			&cli.DurationFlag{Name: "work", Value: 2 * time.Millisecond},
+			&cli.StringFlag{Name: "faults", Value: "{}"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			var faults standin.BackendFaults
+			if err := json.Unmarshal([]byte(c.String("faults")), &faults); err != nil {
+				return err
+			}
+			b := standin.NewBackend(c.String("service"), c.String("version"), c.String("instance"), c.Int("slots"), c.Duration("work"))
+			b.SetFaults(faults)
+			listener, err := net.Listen("tcp", c.String("listen"))
+			if err != nil {
+				return err
+			}
+			return b.Serve(ctx, listener, c.String("host-address"))
+		},
+	}
+}
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run the whole path once, as separate processes",
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			binaries, err := ownBinaries()
+			if err != nil {
+				return err
+			}
+			return demo.Run(ctx, binaries, os.Stdout)
+		},
+	}
+}
+
+// ownBinaries returns the programs beside this one.
+func ownBinaries() (deployment.Binaries, error) {
+	path, err := os.Executable()
+	return deployment.FindBinaries(filepath.Dir(path)), err
+}
--- /dev/null
+++ b/pkg/node/gossiper.go
@@ -0,0 +1,294 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
+	"github.com/hibiscusrock/hibiscusrock/pkg/distribution"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fleet"
+	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+const (
+	exchangeInterval = time.Second
+	rumourInterval   = 100 * time.Millisecond
+	compareInterval  = 2 * time.Second
+	pushFanout       = 3
+	rumourBytes      = 8 << 10
+	compareBytes     = 256 << 10
+	largestPushed    = 16 << 10
+	fetchDeadline    = 10 * time.Second
+	flushRounds      = 2
+)
+
+// gossiper spreads records and releases by push and pull.
+type gossiper struct {
+	*Node
+	woken       chan struct{}
+	released    chan struct{}
+	fetching    atomic.Bool
+	mu          sync.Mutex
+	lastCompare time.Time
+}
+
+func newGossiper(n *Node) *gossiper {
+	g := &gossiper{Node: n, woken: make(chan struct{}, 1), released: make(chan struct{}, 1)}
+	n.store.OnLocal(func(*wire.Record) { wake(g.woken) })
+	return g
+}
+
+func wake(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// wakeRelease pushes a release that was just taken in.
+func (g *gossiper) wakeRelease() { wake(g.released) }
+
+// run exchanges with peers: at once after a change, and each second anyway.
+func (g *gossiper) run(ctx context.Context) {
+	regular := time.NewTimer(jittered(exchangeInterval))
+	defer regular.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.released:
+			g.pushRelease(ctx)
+		case <-g.woken:
+			g.round(ctx, pushFanout)
+			pause(ctx, rumourInterval)
+		case <-regular.C:
+			g.round(ctx, 1)
+			regular.Reset(g.nextInterval())
+		}
+	}
+}
+
+func (g *gossiper) nextInterval() time.Duration {
+	if g.store.HasRumours() {
+		return jittered(rumourInterval)
+	}
+	return jittered(exchangeInterval)
+}
+
+// jittered returns a duration between half and one and a half of d.
+func jittered(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// round exchanges with random peers of this data centre, and on relays with a
+// node of each of a few other data centres.
+func (g *gossiper) round(ctx context.Context, fanout int) {
+	targets := sample(g.members.Peers(), fanout)
+	if g.members.IsRelay() {
+		targets = append(targets, sample(g.remoteRelays(), fanout)...)
+	}
+	g.exchangeAll(ctx, targets)
+}
+
+// pushRelease tells peers that lack the newest release of it.
+func (g *gossiper) pushRelease(ctx context.Context) {
+	sequence := g.holder.Held().Sequence()
+	var lacking []*wire.Member
+	for _, member := range g.members.Peers() {
+		if g.holder.HeldBy(member.GetNode()) < sequence {
+			lacking = append(lacking, member)
+		}
+	}
+	targets := sample(lacking, pushFanout)
+	if g.members.IsRelay() {
+		targets = append(targets, g.remoteRelays()...)
+	}
+	g.exchangeAll(ctx, targets)
+}
+
+// remoteRelays returns one likely relay, chosen at random, of each other data centre.
+func (g *gossiper) remoteRelays() []*wire.Member {
+	byDataCentre := make(map[string][]*wire.Member)
+	for _, member := range g.members.Remote() {
+		byDataCentre[member.GetDataCentre()] = append(byDataCentre[member.GetDataCentre()], member)
+	}
+	var chosen []*wire.Member
+	for _, members := range byDataCentre {
+		chosen = append(chosen, sample(fleet.Relays(members), 1)...)
+	}
+	return chosen
+}
+
+func sample(members []*wire.Member, n int) []*wire.Member {
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:min(n, len(members))]
+}
+
+// exchangeAll exchanges with several members at the same time.
+func (g *gossiper) exchangeAll(ctx context.Context, targets []*wire.Member) {
+	var wg sync.WaitGroup
+	for _, member := range targets {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_ = g.exchange(ctx, member.GetAddress())
+		}()
+	}
+	wg.Wait()
+}
+
+// exchange swaps news with one peer, and repairs differences that remain.
+func (g *gossiper) exchange(ctx context.Context, address string) error {
+	in := g.newExchange(g.memberAt(address))
+	out, err := g.control.Exchange(ctx, address, in)
+	if err != nil {
+		g.Count(`hibiscusrock_gossip_failures_total`)
+		return err
+	}
+	g.Count(`hibiscusrock_gossip_exchanges_total`)
+	g.store.Apply(out.GetRecords(), true)
+	g.heard(out.GetNode(), out.GetSequence())
+	if out.GetSequence() > g.holder.Held().Sequence() {
+		g.pull(ctx, address)
+	}
+	if out.GetDigest() != g.store.Digest() {
+		g.repair(ctx, address)
+	}
+	return nil
+}
+
+// newExchange tells the peer what is new. A peer that is not known as a member
+// of this data centre is told durable records only.
+func (g *gossiper) newExchange(member *wire.Member) *wire.ExchangeRequest {
+	held := g.holder.Held()
+	remote := member.GetDataCentre() != g.settings.DataCentre
+	in := &wire.ExchangeRequest{
+		Node:       g.settings.Node,
+		DataCentre: g.settings.DataCentre,
+		Records:    g.store.Rumours(rumourBytes, remote),
+		Digest:     g.store.Digest(),
+		Sequence:   held.Sequence(),
+	}
+	lacks := member != nil && g.holder.HeldBy(member.GetNode()) < held.Sequence()
+	if lacks && len(held.Signed().GetBody()) <= largestPushed {
+		in.Release = held.Signed()
+	}
+	return in
+}
+
+// memberAt returns the member with an address, or nil.
+func (g *gossiper) memberAt(address string) *wire.Member {
+	for _, member := range g.members.All() {
+		if member.GetAddress() == address {
+			return member
+		}
+	}
+	return nil
+}
+
+// heard notes what a node holds; only nodes of this data centre count for enforcing.
+func (n *Node) heard(name string, sequence uint64) {
+	n.starter.heard(name, sequence)
+	if r := n.store.Get(gossip.PrefixMember + name); r != nil && r.GetMember().GetDataCentre() == n.settings.DataCentre {
+		n.holder.Heard(name, sequence)
+	}
+}
+
+// repair fetches the records in which this node and a peer differ, and sends its own.
+func (g *gossiper) repair(ctx context.Context, address string) {
+	g.mu.Lock()
+	due := g.Now().Sub(g.lastCompare) >= compareInterval || g.members.Len() <= 1
+	if due {
+		g.lastCompare = g.Now()
+	}
+	g.mu.Unlock()
+	if !due {
+		return
+	}
+	g.Count(`hibiscusrock_gossip_repairs_total`)
+	out, err := g.control.Compare(ctx, address, &wire.CompareRequest{Buckets: g.store.Buckets()})
+	if err != nil {
+		return
+	}
+	g.store.Apply(out.GetRecords(), false)
+	records, _ := g.store.InBuckets(out.GetDiffering(), compareBytes)
+	if len(records) == 0 {
+		return
+	}
+	back := &wire.ExchangeRequest{Node: g.settings.Node, DataCentre: g.settings.DataCentre, Records: records, Digest: g.store.Digest(), Sequence: g.holder.Held().Sequence()}
+	_, _ = g.control.Exchange(ctx, address, back)
+}
+
+// pull fetches the newest release of a peer.
+func (g *gossiper) pull(ctx context.Context, address string) {
+	if !g.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer g.fetching.Store(false)
+	out, err := g.control.FetchRelease(ctx, address, &wire.FetchReleaseRequest{})
+	if err != nil || out.GetRelease() == nil {
+		return
+	}
+	g.offer(ctx, out.GetRelease(), g.peerSource(address))
+}
+
+func (n *Node) offer(ctx context.Context, signed *wire.SignedRelease, source distribution.Source) {
+	ctx, cancel := context.WithTimeout(ctx, fetchDeadline)
+	defer cancel()
+	err := n.holder.Offer(ctx, signed, source)
+	if err != nil && !fault.Is(err, fault.KindStale) {
+		n.Log().WithError(err).Warn("release refused")
+	}
+}
+
+// peerSource fetches a release's documents from a peer.
+func (n *Node) peerSource(address string) distribution.Source {
+	return distribution.Source{
+		Release: func(ctx context.Context, sequence uint64) (*wire.SignedRelease, error) {
+			out, err := n.control.FetchRelease(ctx, address, &wire.FetchReleaseRequest{Sequence: sequence})
+			return out.GetRelease(), err
+		},
+		Manifest: func(ctx context.Context, _ *bundle.Document) (bundle.Manifest, error) {
+			return n.fetchManifest(ctx, address)
+		},
+		Parts: func(ctx context.Context, hashes [][]byte) ([][]byte, error) {
+			out, err := n.control.FetchParts(ctx, address, &wire.FetchPartsRequest{Hashes: hashes})
+			return out.GetParts(), err
+		},
+	}
+}
+
+func (n *Node) fetchManifest(ctx context.Context, address string) (bundle.Manifest, error) {
+	var entries []*wire.ManifestEntry
+	for page := uint32(1); ; page++ {
+		out, err := n.control.FetchRelease(ctx, address, &wire.FetchReleaseRequest{Page: page})
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, out.GetEntries()...)
+		if !out.GetMore() {
+			return bundle.NewManifest(entries), nil
+		}
+	}
+}
+
+// flush spreads what this node has to say before it goes on.
+func (g *gossiper) flush(ctx context.Context) {
+	for range flushRounds {
+		g.round(ctx, pushFanout)
+	}
+}
--- /dev/null
+++ b/pkg/node/host.go
@@ -0,0 +1,219 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+const largestAnnouncement = 4 << 10
+
+// Announcement is what a backend server tells the node on its host, again and
+// again as its heartbeat.
+type Announcement struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// Address is the IP address and port at which the backend server takes HTTP requests.
+	Address string `json:"address"`
+	// Slots is the number of requests that it runs at once.
+	Slots int `json:"slots"`
+	// Leaving asks for no more new work.
+	Leaving bool `json:"leaving"`
+}
+
+// State is what /debug/state shows.
+type State struct {
+	Node       string         `json:"node"`
+	DataCentre string         `json:"data_centre"`
+	Held       uint64         `json:"held"`
+	Enforced   uint64         `json:"enforced"`
+	Members    []MemberState  `json:"members"`
+	Backends   []BackendState `json:"backend_servers"`
+	Moves      []MoveState    `json:"moves"`
+	Services   []string       `json:"services"`
+	Relay      bool           `json:"relay"`
+	Steward    bool           `json:"steward"`
+	Endpoints  map[string]int `json:"endpoints"`
+	Traffic    TrafficState   `json:"control_traffic"`
+	Records    int            `json:"records"`
+	Bundle     string         `json:"bundle"`
+}
+
+// MemberState is one node as seen by another.
+type MemberState struct {
+	Node       string `json:"node"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	State      string `json:"state"`
+	Held       uint64 `json:"held,omitempty"`
+}
+
+// BackendState is one backend server on the node's host.
+type BackendState struct {
+	Instance string  `json:"instance"`
+	Service  string  `json:"service"`
+	Version  string  `json:"version"`
+	Address  string  `json:"address"`
+	Slots    int     `json:"slots"`
+	Limit    float64 `json:"limit"`
+	Running  int     `json:"running"`
+	Draining bool    `json:"draining"`
+	Down     bool    `json:"down"`
+}
+
+// MoveState is one move as the node sees it.
+type MoveState struct {
+	Service  string `json:"service"`
+	To       string `json:"to"`
+	Permille int    `json:"permille"`
+	State    string `json:"state"`
+	Note     string `json:"note"`
+	Halt     string `json:"halt,omitempty"`
+}
+
+// TrafficState counts bytes on control connections that the node opened.
+type TrafficState struct {
+	Sent     uint64 `json:"sent_bytes"`
+	Received uint64 `json:"received_bytes"`
+}
+
+func (n *Node) hostHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/backend-servers/{instance}", n.serveAnnouncement)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", n.serveReady)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		n.Metrics().WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /debug/state", n.serveState)
+	return mux
+}
+
+func (n *Node) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
+	record, err := n.readAnnouncement(w, r)
+	if err != nil {
+		n.Count(`hibiscusrock_announcements_refused_total`)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	n.owner.Announce(record)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (n *Node) readAnnouncement(w http.ResponseWriter, r *http.Request) (*wire.Endpoint, error) {
+	const largestName, mostSlots = 63, 100000
+	var a Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, largestAnnouncement))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&a); err != nil {
+		return nil, fault.Wrap(err, fault.KindInvalid, "the announcement cannot be read", "send service, version, address, slots and leaving as JSON")
+	}
+	instance := r.PathValue("instance")
+	for _, name := range []string{instance, a.Service, a.Version} {
+		if name == "" || len(name) > largestName {
+			return nil, fault.New(fault.KindInvalid, "instance, service and version need 1 to 63 characters", "correct the announcement")
+		}
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return nil, fault.Wrap(err, fault.KindInvalid, "address is not an IP address and port", "correct the announcement")
+	}
+	if a.Slots < 1 || a.Slots > mostSlots {
+		return nil, fault.New(fault.KindInvalid, "slots is outside 1 to 100000", "correct the announcement")
+	}
+	return &wire.Endpoint{
+		Node:       n.settings.Node,
+		Instance:   instance,
+		Service:    a.Service,
+		Version:    a.Version,
+		DataCentre: n.settings.DataCentre,
+		Address:    a.Address,
+		Slots:      uint32(a.Slots),
+		Draining:   a.Leaving,
+	}, nil
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if n.holder.Table() == nil {
+		http.Error(w, "no bundle in force", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (n *Node) serveState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(n.State())
+}
+
+// State returns what the node knows.
+func (n *Node) State() State {
+	table := n.holder.Table()
+	s := State{
+		Node:       n.settings.Node,
+		DataCentre: n.settings.DataCentre,
+		Held:       n.holder.Held().Sequence(),
+		Enforced:   table.Sequence(),
+		Services:   table.Services(),
+		Relay:      n.members.IsRelay(),
+		Steward:    n.moves.steward.isActive(),
+		Endpoints:  make(map[string]int),
+		Records:    n.store.Len(),
+	}
+	s.Traffic.Sent, s.Traffic.Received = n.control.Traffic()
+	for _, service := range s.Services {
+		s.Endpoints[service] = n.endpoints.Count(service, "", "")
+	}
+	for _, member := range n.members.All() {
+		s.Members = append(s.Members, MemberState{
+			Node:       member.GetNode(),
+			DataCentre: member.GetDataCentre(),
+			Address:    member.GetAddress(),
+			State:      member.GetState().String(),
+			Held:       n.holder.HeldBy(member.GetNode()),
+		})
+	}
+	for _, b := range n.owner.Backends() {
+		r := b.Record()
+		s.Backends = append(s.Backends, BackendState{
+			Instance: r.GetInstance(), Service: r.GetService(), Version: r.GetVersion(), Address: r.GetAddress(),
+			Slots: int(r.GetSlots()), Limit: b.Gate().Limit(), Running: b.Gate().Running(), Draining: r.GetDraining(), Down: r.GetDown(),
+		})
+	}
+	if table == nil {
+		return s
+	}
+	s.Bundle = table.Document().Release().GetBundleName()
+	for _, move := range table.Moves() {
+		view := (*n.moves.views.Load())[move.GetService()]
+		state := MoveState{Service: move.GetService(), To: move.GetTo(), Permille: view.permille, State: stateName(view.share.GetState()), Note: view.share.GetNote()}
+		if view.halt != nil {
+			state.Halt = view.halt.GetCause() + " on " + view.halt.GetRoute() + ": " + view.halt.GetFigures()
+		}
+		s.Moves = append(s.Moves, state)
+	}
+	return s
+}
+
+func (n *Node) publishGauges() {
+	set := n.Metrics()
+	set.NewGauge(`hibiscusrock_release_held_sequence`, func() float64 { return float64(n.holder.Held().Sequence()) })
+	set.NewGauge(`hibiscusrock_release_enforced_sequence`, func() float64 { return float64(n.holder.Table().Sequence()) })
+	set.NewGauge(`hibiscusrock_members`, func() float64 { return float64(n.members.Len()) })
+	set.NewGauge(`hibiscusrock_records`, func() float64 { return float64(n.store.Len()) })
+	set.NewGauge(`hibiscusrock_control_sent_bytes`, func() float64 {
+		sent, _ := n.control.Traffic()
+		return float64(sent)
+	})
+	set.NewGauge(`hibiscusrock_control_received_bytes`, func() float64 {
+		_, received := n.control.Traffic()
+		return float64(received)
+	})
+}
--- /dev/null
+++ b/pkg/node/peers.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+const (
+	manifestPage       = 1000
+	largestPartsAnswer = 3 << 20
+	indirectTimeout    = 400 * time.Millisecond
+)
+
+// peerHandler answers other nodes.
+type peerHandler struct {
+	node *Node
+}
+
+// Call implements wire.DRPCPeerServer.
+func (p *peerHandler) Call(in *wire.CallRequest, stream wire.DRPCPeer_CallStream) error {
+	return p.node.owner.Serve(stream.Context(), in, stream.Send)
+}
+
+// Exchange implements wire.DRPCPeerServer.
+func (p *peerHandler) Exchange(ctx context.Context, in *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
+	n := p.node
+	n.store.Apply(in.GetRecords(), true)
+	n.heard(in.GetNode(), in.GetSequence())
+	if in.GetSequence() > n.holder.Held().Sequence() {
+		p.takeRelease(ctx, in)
+	}
+	if n.store.HasRumours() {
+		wake(n.gossiper.woken)
+	}
+	return &wire.ExchangeResponse{
+		Node:     n.settings.Node,
+		Records:  n.store.Rumours(rumourBytes, in.GetDataCentre() != n.settings.DataCentre),
+		Digest:   n.store.Digest(),
+		Sequence: n.holder.Held().Sequence(),
+	}, nil
+}
+
+// takeRelease takes in the release that a peer pushed, or fetches the one it mentioned.
+func (p *peerHandler) takeRelease(ctx context.Context, in *wire.ExchangeRequest) {
+	r := p.node.store.Get(gossip.PrefixMember + in.GetNode())
+	if r == nil {
+		return
+	}
+	address := r.GetMember().GetAddress()
+	if in.GetRelease() != nil {
+		p.node.offer(ctx, in.GetRelease(), p.node.peerSource(address))
+		return
+	}
+	p.node.gossiper.pull(ctx, address)
+}
+
+// Compare implements wire.DRPCPeerServer.
+func (p *peerHandler) Compare(_ context.Context, in *wire.CompareRequest) (*wire.CompareResponse, error) {
+	if len(in.GetBuckets()) != gossip.BucketCount {
+		return nil, fault.New(fault.KindInvalid, "wrong number of buckets", "run the same version on all nodes")
+	}
+	differing := p.node.store.Differing(in.GetBuckets())
+	records, covered := p.node.store.InBuckets(differing, compareBytes)
+	return &wire.CompareResponse{Records: records, Differing: covered}, nil
+}
+
+// Ping implements wire.DRPCPeerServer.
+func (p *peerHandler) Ping(ctx context.Context, in *wire.PingRequest) (*wire.PingResponse, error) {
+	n := p.node
+	if in.GetNode() != "" {
+		n.heard(in.GetNode(), in.GetSequence())
+	}
+	out := &wire.PingResponse{Reached: true, Node: n.settings.Node, Sequence: n.holder.Held().Sequence()}
+	if in.GetTargetAddress() == "" {
+		return out, nil
+	}
+	inner, err := n.control.Ping(ctx, in.GetTargetAddress(), indirectTimeout, &wire.PingRequest{})
+	out.Reached = err == nil && inner.GetReached()
+	return out, nil
+}
+
+// FetchRelease implements wire.DRPCPeerServer.
+func (p *peerHandler) FetchRelease(_ context.Context, in *wire.FetchReleaseRequest) (*wire.FetchReleaseResponse, error) {
+	out := &wire.FetchReleaseResponse{Release: p.node.holder.Release(in.GetSequence())}
+	if in.GetPage() == 0 {
+		return out, nil
+	}
+	entries := p.node.holder.Manifest().Entries()
+	start := min((int(in.GetPage())-1)*manifestPage, len(entries))
+	end := min(start+manifestPage, len(entries))
+	out.Entries = entries[start:end]
+	out.More = end < len(entries)
+	return out, nil
+}
+
+// FetchParts implements wire.DRPCPeerServer.
+func (p *peerHandler) FetchParts(_ context.Context, in *wire.FetchPartsRequest) (*wire.FetchPartsResponse, error) {
+	out := &wire.FetchPartsResponse{}
+	size := 0
+	for _, hash := range in.GetHashes() {
+		part := p.node.holder.Part(hash)
+		size += len(part)
+		if part == nil || size > largestPartsAnswer {
+			return out, nil
+		}
+		out.Parts = append(out.Parts, part)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/pkg/node/probes.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+const (
+	probeInterval        = time.Second
+	probeTimeout         = 500 * time.Millisecond
+	indirectProbes       = 3
+	indirectProbeTimeout = time.Second
+	housekeepingInterval = 250 * time.Millisecond
+)
+
+// runProbes probes the nodes of this data centre in turn, one each interval.
+func (n *Node) runProbes(ctx context.Context) {
+	var order []*wire.Member
+	for ctx.Err() == nil {
+		pause(ctx, jittered(probeInterval))
+		if len(order) == 0 {
+			order = n.members.Peers()
+			rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+		}
+		if len(order) > 0 {
+			n.probe(ctx, order[0])
+			order = order[1:]
+		}
+	}
+}
+
+// probe suspects a member that answers neither directly nor through others.
+func (n *Node) probe(ctx context.Context, member *wire.Member) {
+	in := &wire.PingRequest{Node: n.settings.Node, Sequence: n.holder.Held().Sequence()}
+	out, err := n.control.Ping(ctx, member.GetAddress(), probeTimeout, in)
+	if err == nil {
+		n.heard(out.GetNode(), out.GetSequence())
+		return
+	}
+	n.Count(`hibiscusrock_probe_failures_total`)
+	if ctx.Err() != nil || n.probeIndirectly(ctx, member) {
+		return
+	}
+	n.members.Suspect(member.GetNode())
+}
+
+func (n *Node) probeIndirectly(ctx context.Context, member *wire.Member) bool {
+	helpers := sample(n.members.Peers(), indirectProbes+1)
+	reached := make(chan bool, len(helpers))
+	asked := 0
+	for _, helper := range helpers {
+		if helper.GetNode() == member.GetNode() || asked == indirectProbes {
+			continue
+		}
+		asked++
+		go func() {
+			out, err := n.control.Ping(ctx, helper.GetAddress(), indirectProbeTimeout, &wire.PingRequest{TargetAddress: member.GetAddress()})
+			reached <- err == nil && out.GetReached()
+		}()
+	}
+	for range asked {
+		if <-reached {
+			return true
+		}
+	}
+	return false
+}
+
+// runHousekeeping drives everything that depends on the time alone.
+func (n *Node) runHousekeeping(ctx context.Context) {
+	ticker := time.NewTicker(housekeepingInterval)
+	defer ticker.Stop()
+	incarnation := n.members.Incarnation()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n.members.Tick()
+		n.owner.Tick()
+		n.holder.Tick()
+		if now := n.members.Incarnation(); now != incarnation {
+			incarnation = now
+			n.owner.Republish()
+		}
+		n.sweep()
+	}
+}
+
+func (n *Node) sweep() {
+	for _, r := range n.store.Sweep() {
+		n.members.Forget(r)
+		n.ward.Forget(r)
+		if member := r.GetMember(); member != nil {
+			n.holder.Forget(member.GetNode())
+		}
+	}
+}
--- /dev/null
+++ b/pkg/operator/bundles.go
@@ -0,0 +1,297 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
+	"github.com/hibiscusrock/hibiscusrock/pkg/catalog"
+	"github.com/hibiscusrock/hibiscusrock/pkg/config"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+	"github.com/hibiscusrock/hibiscusrock/pkg/keys"
+)
+
+func (o *operator) keysCommand() *cli.Command {
+	return &cli.Command{Name: "keys", Usage: "signing keys", Commands: []*cli.Command{{
+		Name:      "generate",
+		Usage:     "make a signing key; prints the public key for the nodes' settings",
+		ArgsUsage: "FILE",
+		Flags:     []cli.Flag{&cli.StringFlag{Name: "name", Usage: "name of the signer", Value: author()}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			path, err := oneArgument(c, "file")
+			if err != nil {
+				return err
+			}
+			key, err := keys.Generate(c.String("name"), nil)
+			if err != nil {
+				return err
+			}
+			if err := key.Save(path); err != nil {
+				return err
+			}
+			text := fmt.Sprintf("signer %s\npublic %s\n", key.Name(), key.Public())
+			return o.print(map[string]string{"signer": key.Name(), "public": key.Public()}, text)
+		},
+	}}}
+}
+
+func (o *operator) bundleCommand() *cli.Command {
+	return &cli.Command{Name: "bundle", Usage: "bundles of routes and traffic shares", Commands: []*cli.Command{
+		{Name: "check", Usage: "list every fault of a bundle file", ArgsUsage: "FILE", Action: o.checkBundle},
+		{Name: "put", Usage: "store a bundle as a draft to be signed", ArgsUsage: "FILE", Action: o.putBundle, Flags: []cli.Flag{
+			&cli.StringFlag{Name: "author", Usage: "name shown to other operators", Value: author()},
+		}},
+		{Name: "sign", Usage: "sign a draft off", ArgsUsage: "DRAFT", Action: o.signBundle, Flags: []cli.Flag{
+			&cli.StringFlag{Name: "key", Usage: "file with the signing key", Required: true},
+		}},
+		{Name: "show", Usage: "print the bundle of a draft or release, or of the newest release", ArgsUsage: "[DRAFT|SEQUENCE]", Action: o.showBundle},
+		{Name: "list", Usage: "list drafts and releases", Action: o.listBundles},
+		{Name: "diff", Usage: "list the services that differ between two drafts or releases", ArgsUsage: "OLD NEW", Action: o.diffBundles},
+	}}
+}
+
+func readBundle(c *cli.Command) (*bundle.Bundle, error) {
+	path, err := oneArgument(c, "file")
+	if err != nil {
+		return nil, err
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.KindMissing, "cannot read the bundle", "name an existing file")
+	}
+	b, err := bundle.Parse(path, data)
+	if err != nil {
+		return nil, err
+	}
+	return b, b.Check()
+}
+
+func (o *operator) checkBundle(_ context.Context, c *cli.Command) error {
+	b, err := readBundle(c)
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf("bundle %s: %d services, %d routes, no faults\n", b.Name, len(b.Services), len(b.Routes))
+	return o.print(b, text)
+}
+
+// releaseView is what the commands print of a draft or release.
+type releaseView struct {
+	ID       string    `json:"id"`
+	Sequence uint64    `json:"sequence"`
+	Bundle   string    `json:"bundle"`
+	Author   string    `json:"author"`
+	Created  time.Time `json:"created"`
+	Signers  []string  `json:"signers"`
+	Changed  []string  `json:"changed"`
+	Removed  []string  `json:"removed,omitempty"`
+}
+
+func newReleaseView(d *bundle.Document) releaseView {
+	r := d.Release()
+	v := releaseView{ID: d.ID(), Sequence: d.Sequence(), Bundle: r.GetBundleName(), Author: r.GetAuthor(), Created: time.UnixMilli(r.GetCreatedUnixMs()), Removed: r.GetRemoved()}
+	for _, s := range d.Signed().GetSignatures() {
+		v.Signers = append(v.Signers, s.GetSigner())
+	}
+	for _, entry := range r.GetChanged() {
+		v.Changed = append(v.Changed, entry.GetName())
+	}
+	return v
+}
+
+func (v releaseView) line() string {
+	return fmt.Sprintf("%5d  %s  %-20s by %-12s %s  signed by %s\n", v.Sequence, v.ID[:12], v.Bundle, v.Author, v.Created.Format(time.DateTime), strings.Join(v.Signers, ", "))
+}
+
+func (o *operator) putBundle(ctx context.Context, c *cli.Command) error {
+	b, err := readBundle(c)
+	if err != nil {
+		return err
+	}
+	cat, cleanUp := o.catalogFor(c)
+	defer cleanUp()
+	document, err := cat.Put(ctx, b, c.String("author"), time.Now())
+	if err != nil {
+		return err
+	}
+	v := newReleaseView(document)
+	return o.print(v, fmt.Sprintf("draft %s for release %d, changed services: %s\n", v.ID, v.Sequence, strings.Join(v.Changed, ", ")))
+}
+
+func (o *operator) signBundle(ctx context.Context, c *cli.Command) error {
+	id, err := oneArgument(c, "draft")
+	if err != nil {
+		return err
+	}
+	key, err := keys.Load(c.String("key"))
+	if err != nil {
+		return err
+	}
+	cat, cleanUp := o.catalogFor(c)
+	defer cleanUp()
+	document, err := cat.Sign(ctx, id, key)
+	if err != nil {
+		return err
+	}
+	v := newReleaseView(document)
+	return o.print(v, fmt.Sprintf("draft %s signed by %s\n", v.ID, strings.Join(v.Signers, ", ")))
+}
+
+// find returns a draft by identifier, a release by sequence, or the newest release.
+func find(ctx context.Context, cat *catalog.Catalog, name string) (*bundle.Document, error) {
+	if name == "" {
+		head, _, err := cat.Head(ctx)
+		if err == nil && head == nil {
+			err = fault.New(fault.KindMissing, "there is no release yet", "put, sign and roll out a bundle")
+		}
+		return head, err
+	}
+	var sequence uint64
+	if _, err := fmt.Sscanf(name, "%d", &sequence); err == nil && fmt.Sprint(sequence) == name {
+		return cat.Release(ctx, sequence)
+	}
+	return cat.Draft(ctx, name)
+}
+
+func (o *operator) showBundle(ctx context.Context, c *cli.Command) error {
+	cat, cleanUp := o.catalogFor(c)
+	defer cleanUp()
+	document, err := find(ctx, cat, c.Args().First())
+	if err != nil {
+		return err
+	}
+	b, err := bundleOf(ctx, cat, document)
+	if err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(b, "", "  ")
+	if err != nil {
+		return err
+	}
+	return o.print(b, fmt.Sprintf("// release %d, %s\n%s\n", document.Sequence(), document.ID(), text))
+}
+
+// bundleOf puts the bundle of a release or of a draft together.
+func bundleOf(ctx context.Context, cat *catalog.Catalog, document *bundle.Document) (*bundle.Bundle, error) {
+	return cat.Bundle(ctx, document)
+}
+
+func (o *operator) listBundles(ctx context.Context, c *cli.Command) error {
+	cat, cleanUp := o.catalogFor(c)
+	defer cleanUp()
+	releases, err := cat.Releases(ctx)
+	if err != nil {
+		return err
+	}
+	drafts, err := cat.Drafts(ctx)
+	if err != nil {
+		return err
+	}
+	list := struct {
+		Releases []releaseView `json:"releases"`
+		Drafts   []releaseView `json:"drafts"`
+	}{}
+	text := "releases\n"
+	rolledOut := make(map[string]bool)
+	for _, d := range releases {
+		v := newReleaseView(d)
+		rolledOut[v.ID] = true
+		list.Releases = append(list.Releases, v)
+		text += v.line()
+	}
+	text += "drafts\n"
+	for _, d := range drafts {
+		if v := newReleaseView(d); !rolledOut[v.ID] {
+			list.Drafts = append(list.Drafts, v)
+			text += v.line()
+		}
+	}
+	return o.print(list, text)
+}
+
+func (o *operator) diffBundles(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 2 {
+		return fault.New(fault.KindInvalid, "two drafts or releases are needed", "see 'hibiscusrock bundle list'")
+	}
+	cat, cleanUp := o.catalogFor(c)
+	defer cleanUp()
+	var manifests [2]bundle.Manifest
+	for i := range manifests {
+		document, err := find(ctx, cat, c.Args().Get(i))
+		if err != nil {
+			return err
+		}
+		if manifests[i], err = cat.Manifest(ctx, document); err != nil {
+			return err
+		}
+	}
+	differences := diff(manifests[0], manifests[1])
+	text := ""
+	for _, d := range differences {
+		text += d.Change + " " + d.Service + "\n"
+	}
+	return o.print(differences, text)
+}
+
+// difference is one service that differs between two releases.
+type difference struct {
+	Service string `json:"service"`
+	Change  string `json:"change"`
+}
+
+func diff(before, after bundle.Manifest) []difference {
+	var differences []difference
+	for _, entry := range after.Entries() {
+		hash, ok := before[entry.GetName()]
+		switch {
+		case !ok:
+			differences = append(differences, difference{entry.GetName(), "added"})
+		case !slices.Equal(hash, entry.GetHash()):
+			differences = append(differences, difference{entry.GetName(), "changed"})
+		}
+	}
+	for _, entry := range before.Entries() {
+		if _, ok := after[entry.GetName()]; !ok {
+			differences = append(differences, difference{entry.GetName(), "removed"})
+		}
+	}
+	return differences
+}
+
+func (o *operator) configCommand() *cli.Command {
+	return &cli.Command{Name: "config", Usage: "settings of a node", Commands: []*cli.Command{
+		{Name: "check", Usage: "list every fault of a settings file", ArgsUsage: "FILE", Action: func(_ context.Context, c *cli.Command) error {
+			path, err := oneArgument(c, "file")
+			if err != nil {
+				return err
+			}
+			if _, err := config.Load(path); err != nil {
+				return err
+			}
+			return o.print(map[string]bool{"valid": true}, path+": no faults\n")
+		}},
+		{Name: "print", Usage: "print the settings in force, defaults included", ArgsUsage: "FILE", Action: func(_ context.Context, c *cli.Command) error {
+			path, err := oneArgument(c, "file")
+			if err != nil {
+				return err
+			}
+			settings, err := config.Load(path)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprint(o.out, settings.Print())
+			return err
+		}},
+		{Name: "reference", Usage: "print the settings reference in Markdown", Action: func(context.Context, *cli.Command) error {
+			_, err := fmt.Fprint(o.out, config.Reference())
+			return err
+		}},
+	}}
+}
--- /dev/null
+++ b/pkg/operator/rollouts.go
@@ -0,0 +1,188 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
+	"github.com/hibiscusrock/hibiscusrock/pkg/catalog"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+	"github.com/hibiscusrock/hibiscusrock/pkg/node"
+)
+
+const waitInterval = 500 * time.Millisecond
+
+func (o *operator) rolloutCommand() *cli.Command {
+	return &cli.Command{Name: "rollout", Usage: "roll releases out and follow their moves", Commands: []*cli.Command{
+		{Name: "start", Usage: "make a signed draft the newest release", ArgsUsage: "DRAFT", Action: o.startRollout},
+		{Name: "status", Usage: "say where the moves of the newest release stand", Action: o.showRollout},
+		{Name: "wait", Usage: "wait until all moves are done (exit 0) or one is taken back (exit 5)", Action: o.waitRollout, Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "timeout", Usage: "longest time to wait (then exit 6)", Value: time.Hour},
+		}},
+		{Name: "back", Usage: "store the contents of an earlier release, without its moves, as a new draft", ArgsUsage: "SEQUENCE", Action: o.backRollout, Flags: []cli.Flag{
+			&cli.StringFlag{Name: "author", Usage: "name shown to other operators", Value: author()},
+		}},
+	}}
+}
+
+func (o *operator) startRollout(ctx context.Context, c *cli.Command) error {
+	id, err := oneArgument(c, "draft")
+	if err != nil {
+		return err
+	}
+	cat, cleanUp := o.catalogFor(c)
+	defer cleanUp()
+	document, err := cat.Start(ctx, id)
+	if err != nil {
+		return err
+	}
+	v := newReleaseView(document)
+	return o.print(v, fmt.Sprintf("release %d is signed off and on its way to every node\n", v.Sequence))
+}
+
+func outcomes(ctx context.Context, cat *catalog.Catalog) (*bundle.Document, []catalog.Outcome, error) {
+	head, err := find(ctx, cat, "")
+	if err != nil {
+		return nil, nil, err
+	}
+	var all []catalog.Outcome
+	for _, move := range head.Release().GetMoves() {
+		reports, err := cat.Reports(ctx, move.GetSequence())
+		if err != nil {
+			return nil, nil, err
+		}
+		all = append(all, catalog.Sum(move, head.Release().GetDataCentres(), reports))
+	}
+	return head, all, nil
+}
+
+func describe(head *bundle.Document, all []catalog.Outcome) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "release %d, %d moves\n", head.Sequence(), len(all))
+	for _, outcome := range all {
+		b.WriteString(outcome.Describe())
+	}
+	return b.String()
+}
+
+func (o *operator) showRollout(ctx context.Context, c *cli.Command) error {
+	cat, cleanUp := o.catalogFor(c)
+	defer cleanUp()
+	head, all, err := outcomes(ctx, cat)
+	if err != nil {
+		return err
+	}
+	return o.print(all, describe(head, all))
+}
+
+func (o *operator) waitRollout(ctx context.Context, c *cli.Command) error {
+	cat, cleanUp := o.catalogFor(c)
+	defer cleanUp()
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	for {
+		head, all, err := outcomes(ctx, cat)
+		if err == nil {
+			if end, err := ended(all); end {
+				return firstError(o.print(all, describe(head, all)), err)
+			}
+		} else if !fault.Is(err, fault.KindUnavailable) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return fault.New(fault.KindTimeout, "the moves have not ended in time", "run 'hibiscusrock rollout status'")
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ended reports whether all moves have ended; the error says which was taken back.
+func ended(all []catalog.Outcome) (bool, error) {
+	moving := false
+	for _, outcome := range all {
+		switch outcome.State {
+		case catalog.StateTakenBack:
+			return true, fault.New(fault.KindTakenBack, outcome.Service+": version "+outcome.To+" was taken back", "see the cause above; put a corrected bundle")
+		case catalog.StateMoving:
+			moving = true
+		}
+	}
+	return !moving, nil
+}
+
+func (o *operator) backRollout(ctx context.Context, c *cli.Command) error {
+	name, err := oneArgument(c, "sequence")
+	if err != nil {
+		return err
+	}
+	var sequence uint64
+	if _, err := fmt.Sscanf(name, "%d", &sequence); err != nil {
+		return fault.New(fault.KindInvalid, name+" is not a sequence", "see 'hibiscusrock bundle list'")
+	}
+	cat, cleanUp := o.catalogFor(c)
+	defer cleanUp()
+	document, err := cat.Back(ctx, sequence, c.String("author"), time.Now())
+	if err != nil {
+		return err
+	}
+	v := newReleaseView(document)
+	return o.print(v, fmt.Sprintf("draft %s for release %d holds the contents of release %d; sign it and start it\n", v.ID, v.Sequence, sequence))
+}
+
+func (o *operator) fleetCommand() *cli.Command {
+	return &cli.Command{Name: "fleet", Usage: "show the fleet as one node sees it", Action: o.showFleet, Flags: []cli.Flag{
+		&cli.StringFlag{Name: "node", Usage: "host address of a node", Value: "127.0.0.1:7980"},
+	}}
+}
+
+// FetchState asks a node for its state.
+func FetchState(ctx context.Context, address string) (node.State, error) {
+	var s node.State
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/state", nil)
+	if err != nil {
+		return s, fault.Wrap(err, fault.KindInvalid, "the address cannot be used", "give the node's host_address")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return s, fault.Wrap(err, fault.KindUnavailable, "the node does not answer", "run the command on the node's host, with its host_address")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return s, fault.Wrap(err, fault.KindUnavailable, "the node's answer cannot be read", "check that the address is a host_address")
+	}
+	return s, nil
+}
+
+func (o *operator) showFleet(ctx context.Context, c *cli.Command) error {
+	s, err := FetchState(ctx, c.String("node"))
+	if err != nil {
+		return err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "node %s in %s enforces release %d and holds %d\n", s.Node, s.DataCentre, s.Enforced, s.Held)
+	for _, m := range s.Members {
+		fmt.Fprintf(&b, "  %-20s %-12s %-22s %s\n", m.Node, m.DataCentre, m.Address, strings.ToLower(strings.TrimPrefix(m.State, "MEMBER_STATE_")))
+	}
+	for _, m := range s.Moves {
+		fmt.Fprintf(&b, "  move of %s to %s: %s, %.1f %%, %s\n", m.Service, m.To, m.State, float64(m.Permille)/10, m.Note)
+	}
+	return o.print(s, b.String())
+}
--- /dev/null
+++ b/pkg/peer/server.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"golang.org/x/time/rate"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+const (
+	handshakesPerSecond = 200
+	handshakeBurst      = 100
+	openConnections     = 4096
+)
+
+// Server accepts connections of other nodes.
+type Server struct {
+	*common.Common
+	secret   []byte
+	server   *drpcserver.Server
+	limiter  *rate.Limiter
+	mu       sync.Mutex
+	open     map[net.Conn]bool
+	handlers sync.WaitGroup
+}
+
+// NewServer returns a server that passes calls to handler.
+func NewServer(cm *common.Common, secret []byte, handler wire.DRPCPeerServer) (*Server, error) {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterPeer(mux, handler); err != nil {
+		return nil, fault.Wrap(err, fault.KindInternal, "cannot register the peer protocol", "")
+	}
+	return &Server{
+		Common:  cm,
+		secret:  secret,
+		server:  drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}),
+		limiter: rate.NewLimiter(handshakesPerSecond, handshakeBurst),
+		open:    make(map[net.Conn]bool),
+	}, nil
+}
+
+// Serve accepts connections until ctx ends, then closes them all and reports
+// its end on the returned channel.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) <-chan error {
+	done := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() {
+		_ = listener.Close()
+		s.closeAll()
+	})
+	go func() {
+		defer stop()
+		err := s.acceptLoop(ctx, listener)
+		s.closeAll()
+		s.handlers.Wait()
+		done <- err
+	}()
+	return done
+}
+
+func (s *Server) acceptLoop(ctx context.Context, listener net.Listener) error {
+	for {
+		raw, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fault.Wrap(err, fault.KindUnavailable, "the peer listener failed", "check the open file limit")
+		}
+		if !s.limiter.Allow() {
+			s.Count(`hibiscusrock_peer_refused_total{reason="handshake_rate"}`)
+			_ = raw.Close()
+			continue
+		}
+		if !s.add(raw) {
+			s.Count(`hibiscusrock_peer_refused_total{reason="connections"}`)
+			_ = raw.Close()
+			continue
+		}
+		s.handlers.Add(1)
+		go s.serveConn(ctx, raw)
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
+	defer s.handlers.Done()
+	defer s.remove(raw)
+	if err := accept(raw, s.secret); err != nil {
+		s.Count(`hibiscusrock_peer_refused_total{reason="handshake"}`)
+		return
+	}
+	_ = s.server.ServeOne(ctx, raw)
+}
+
+func (s *Server) add(raw net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) >= openConnections {
+		return false
+	}
+	s.open[raw] = true
+	return true
+}
+
+func (s *Server) remove(raw net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, raw)
+	_ = raw.Close()
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for raw := range s.open {
+		_ = raw.Close()
+	}
+}
--- /dev/null
+++ b/pkg/routing/table.go
@@ -0,0 +1,146 @@
+// Package routing matches requests with routes, chooses the version that a
+// request goes to and picks a backend server.
+package routing
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+// Table is the immutable result of one release. A node enforces one table at a time.
+type Table struct {
+	document *bundle.Document
+	services map[string]*bundle.Service
+	moves    map[string]*wire.Move
+	hosts    map[string]prefixes
+}
+
+// prefixes holds the routes of one host by path prefix without its final slash.
+type prefixes map[string][]*bundle.Route
+
+// NewTable builds a table from every part of a release. It refuses a route to
+// a service that the release does not hold.
+func NewTable(document *bundle.Document, parts []bundle.Part) (*Table, error) {
+	t := &Table{
+		document: document,
+		services: make(map[string]*bundle.Service, len(parts)),
+		moves:    make(map[string]*wire.Move),
+		hosts:    make(map[string]prefixes),
+	}
+	for i := range parts {
+		t.services[parts[i].Name] = &parts[i].Service
+	}
+	for i := range parts {
+		for j := range parts[i].Routes {
+			if err := t.addRoute(&parts[i].Routes[j]); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for _, move := range document.Release().GetMoves() {
+		t.moves[move.GetService()] = move
+	}
+	return t, nil
+}
+
+func (t *Table) addRoute(r *bundle.Route) error {
+	if _, ok := t.services[r.Service]; !ok {
+		return fault.New(fault.KindInvalid, "route "+r.Name+" names the unknown service "+r.Service, "add the service to the bundle or remove the route")
+	}
+	host := strings.ToLower(r.Host)
+	if t.hosts[host] == nil {
+		t.hosts[host] = make(prefixes)
+	}
+	prefix := strings.TrimSuffix(r.PathPrefix, "/")
+	t.hosts[host][prefix] = append(t.hosts[host][prefix], r)
+	return nil
+}
+
+// Document returns the release that the table enforces.
+func (t *Table) Document() *bundle.Document {
+	if t == nil {
+		return nil
+	}
+	return t.document
+}
+
+// Sequence returns the number of the table's release, or 0 without a table.
+func (t *Table) Sequence() uint64 { return t.Document().Sequence() }
+
+// Service returns a service, or nil when the table does not know it.
+func (t *Table) Service(name string) *bundle.Service {
+	if t == nil {
+		return nil
+	}
+	return t.services[name]
+}
+
+// Services returns the names of all services in order.
+func (t *Table) Services() []string {
+	if t == nil {
+		return nil
+	}
+	names := make([]string, 0, len(t.services))
+	for name := range t.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Move returns the move of a service, or nil.
+func (t *Table) Move(service string) *wire.Move {
+	if t == nil {
+		return nil
+	}
+	return t.moves[service]
+}
+
+// Moves returns all moves of the release.
+func (t *Table) Moves() []*wire.Move { return t.Document().Release().GetMoves() }
+
+// Match returns the route of a request, or nil. The request's host is tried
+// first, then routes for any host; longer path prefixes go first.
+func (t *Table) Match(host, method, path string) *bundle.Route {
+	if t == nil {
+		return nil
+	}
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	if host != "" {
+		if r := t.hosts[host].match(method, path); r != nil {
+			return r
+		}
+	}
+	return t.hosts[""].match(method, path)
+}
+
+func (p prefixes) match(method, path string) *bundle.Route {
+	prefix := strings.TrimSuffix(path, "/")
+	for {
+		if r := matchMethod(p[prefix], method); r != nil {
+			return r
+		}
+		i := strings.LastIndexByte(prefix, '/')
+		if i < 0 {
+			return nil
+		}
+		prefix = prefix[:i]
+	}
+}
+
+func matchMethod(routes []*bundle.Route, method string) *bundle.Route {
+	var any *bundle.Route
+	for _, r := range routes {
+		if slices.Contains(r.Methods, method) {
+			return r
+		}
+		if len(r.Methods) == 0 {
+			any = r
+		}
+	}
+	return any
+}
--- /dev/null
+++ b/pkg/verdict/verdict.go
@@ -0,0 +1,175 @@
+// Package verdict says whether a request ran, and carries the refusals that
+// callers receive as problem documents (RFC 9457).
+package verdict
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+// Headers of every answer.
+const (
+	Header       = "Hibiscusrock-Verdict"
+	ReasonHeader = "Hibiscusrock-Reason"
+)
+
+// Verdict says whether a request reached a backend server.
+type Verdict string
+
+// The verdicts.
+const (
+	Ran     Verdict = "ran"
+	NotRun  Verdict = "not_run"
+	Unknown Verdict = "unknown"
+)
+
+// FromWire converts the wire form; what is not known is Unknown.
+func FromWire(v wire.Verdict) Verdict {
+	switch v {
+	case wire.Verdict_VERDICT_RAN:
+		return Ran
+	case wire.Verdict_VERDICT_NOT_RUN:
+		return NotRun
+	}
+	return Unknown
+}
+
+// ToWire converts to the wire form.
+func (v Verdict) ToWire() wire.Verdict {
+	switch v {
+	case Ran:
+		return wire.Verdict_VERDICT_RAN
+	case NotRun:
+		return wire.Verdict_VERDICT_NOT_RUN
+	}
+	return wire.Verdict_VERDICT_UNKNOWN
+}
+
+// Reason is the cause of a refusal; each has its own counter.
+type Reason string
+
+// The reasons for which a request is refused.
+const (
+	NoBundle          Reason = "no_bundle"
+	NoRoute           Reason = "no_route"
+	NoBackendServer   Reason = "no_backend_server"
+	BodyTooLarge      Reason = "body_too_large"
+	BodyUnreadable    Reason = "body_unreadable"
+	CrashCausing      Reason = "crash_causing_request"
+	Draining          Reason = "draining"
+	Stopping          Reason = "stopping"
+	UnknownInstance   Reason = "unknown_instance"
+	UnknownService    Reason = "unknown_service"
+	QueueFull         Reason = "queue_full"
+	DeadlineTooNear   Reason = "deadline_too_near"
+	DeadlinePassed    Reason = "deadline_passed"
+	VersionHalted     Reason = "version_halted"
+	BackendFailing    Reason = "backend_server_failing"
+	BackendRefused    Reason = "backend_server_refused_connection"
+	BackendShed       Reason = "backend_server_shed"
+	BackendCrashed    Reason = "backend_server_crashed"
+	AnswerLost        Reason = "answer_lost"
+	PeerUnreachable   Reason = "peer_unreachable"
+	ClaimsUnavailable Reason = "claims_unavailable"
+	ClaimHeld         Reason = "claim_held"
+	ClaimMismatch     Reason = "claim_mismatch"
+	ClaimAnswerLost   Reason = "claim_answer_not_kept"
+	CallerGone        Reason = "caller_gone"
+)
+
+type description struct {
+	status int
+	remedy string
+}
+
+var descriptions = map[Reason]description{
+	NoBundle:          {http.StatusServiceUnavailable, "try again in a few seconds; the node has no bundle in force yet"},
+	NoRoute:           {http.StatusNotFound, "check the host, path and method; the bundle in force has no such route"},
+	NoBackendServer:   {http.StatusServiceUnavailable, "try again; no backend server of the service can take the request"},
+	BodyTooLarge:      {http.StatusRequestEntityTooLarge, "send a smaller body; the route's max_body_bytes sets the limit"},
+	BodyUnreadable:    {http.StatusBadRequest, "send the whole body that Content-Length announces"},
+	CrashCausing:      {http.StatusUnprocessableEntity, "do not send the request again; backend servers died while running it"},
+	Draining:          {http.StatusServiceUnavailable, "try again; the backend server is leaving"},
+	Stopping:          {http.StatusServiceUnavailable, "try again through another node; this one is stopping"},
+	UnknownInstance:   {http.StatusServiceUnavailable, "try again; the backend server is gone"},
+	UnknownService:    {http.StatusServiceUnavailable, "try again; the node does not know the service yet"},
+	QueueFull:         {http.StatusServiceUnavailable, "try again later; the backend server has more work than slots"},
+	DeadlineTooNear:   {http.StatusServiceUnavailable, "try again with more time; the queue is longer than the time left"},
+	DeadlinePassed:    {http.StatusGatewayTimeout, "look up whether the request took effect before you send it again"},
+	VersionHalted:     {http.StatusServiceUnavailable, "try again; the version was taken back"},
+	BackendFailing:    {http.StatusServiceUnavailable, "try again; the backend server fails its requests"},
+	BackendRefused:    {http.StatusServiceUnavailable, "try again; the backend server does not accept connections"},
+	BackendShed:       {http.StatusServiceUnavailable, "try again later; the backend server shed the request"},
+	BackendCrashed:    {http.StatusBadGateway, "look up whether the request took effect before you send it again"},
+	AnswerLost:        {http.StatusBadGateway, "look up whether the request took effect before you send it again"},
+	PeerUnreachable:   {http.StatusServiceUnavailable, "try again; the node of the backend server cannot be reached"},
+	ClaimsUnavailable: {http.StatusServiceUnavailable, "try again with the same Idempotency-Key once the platform answers"},
+	ClaimHeld:         {http.StatusConflict, "look up whether the request took effect; an earlier attempt under this Idempotency-Key has no answer on record"},
+	ClaimMismatch:     {http.StatusUnprocessableEntity, "use a new Idempotency-Key; this one belongs to another request"},
+	ClaimAnswerLost:   {http.StatusConflict, "look up the result; the request ran but its answer was too large to keep"},
+	CallerGone:        {http.StatusServiceUnavailable, "send the request again; the caller went away before it ran"},
+}
+
+// Refusal is the answer to a request that was not served.
+type Refusal struct {
+	verdict Verdict
+	reason  Reason
+}
+
+// Refuse returns a refusal.
+func Refuse(v Verdict, reason Reason) *Refusal { return &Refusal{verdict: v, reason: reason} }
+
+// Verdict returns whether the request ran.
+func (r *Refusal) Verdict() Verdict { return r.verdict }
+
+// Reason returns why the request was refused.
+func (r *Refusal) Reason() Reason { return r.reason }
+
+// Status returns the HTTP status of the refusal.
+func (r *Refusal) Status() int {
+	if d, ok := descriptions[r.reason]; ok {
+		return d.status
+	}
+	return http.StatusBadGateway
+}
+
+// Remedy returns what the caller can do.
+func (r *Refusal) Remedy() string { return descriptions[r.reason].remedy }
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return string(r.reason) + " (" + string(r.verdict) + "): " + r.Remedy()
+}
+
+// ToWire returns the refusal as the whole answer of an owner node.
+func (r *Refusal) ToWire() *wire.CallAnswer {
+	return &wire.CallAnswer{Verdict: r.verdict.ToWire(), Reason: string(r.reason), Status: int32(r.Status()), Last: true}
+}
+
+type problem struct {
+	Type    string  `json:"type"`
+	Title   string  `json:"title"`
+	Status  int     `json:"status"`
+	Detail  string  `json:"detail"`
+	Verdict Verdict `json:"verdict"`
+	Reason  Reason  `json:"reason"`
+}
+
+// Write sends the refusal to a caller.
+func (r *Refusal) Write(w http.ResponseWriter) {
+	data, _ := json.Marshal(problem{
+		Type:    "urn:hibiscusrock:refusal:" + string(r.reason),
+		Title:   http.StatusText(r.Status()),
+		Status:  r.Status(),
+		Detail:  r.Remedy(),
+		Verdict: r.verdict,
+		Reason:  r.reason,
+	})
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set(Header, string(r.verdict))
+	w.Header().Set(ReasonHeader, string(r.reason))
+	w.WriteHeader(r.Status())
+	_, _ = w.Write(append(data, '\n'))
+}
