--- a/pkg/lab/demo/demo.go
+++ b/pkg/lab/demo/demo.go
@@ -161,20 +161,13 @@
 
 // checkBookings asks the backend servers themselves how often each booking ran.
 func (m *demo) checkBookings() error {
+	records, err := m.d.Runs("booking")
+	if err != nil {
+		return err
+	}
 	runs := make(map[string]int)
-	for _, h := range m.d.Hosts("") {
-		for _, b := range h.Backends {
-			if b.Service != "booking" {
-				continue
-			}
-			records, err := b.Runs()
-			if err != nil {
-				return err
-			}
-			for _, r := range records {
-				runs[r.Key]++
-			}
-		}
+	for _, r := range records {
+		runs[r.Key]++
 	}
 	for key, n := range runs {
 		if n != 1 {
--- a/pkg/lab/deployment/deployment.go
+++ b/pkg/lab/deployment/deployment.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +16,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +60,7 @@
 	Node       *Process
 	Backends   []*Backend
 	settings   string
+	seeds      []string
 }
 
 // CallerAddress returns where the host's node serves callers.
@@ -226,6 +229,14 @@
 	return h, d.StartNode(h)
 }
 
+// AddSeeds gives the settings of a host the peer addresses of others, in order.
+func (d *Deployment) AddSeeds(h *Host, others ...*Host) error {
+	for _, other := range others {
+		h.seeds = append(h.seeds, other.Proxy.Address())
+	}
+	return d.writeSettings(h)
+}
+
 func (d *Deployment) writeSettings(h *Host) error {
 	settings := config.Defaults()
 	settings.Node = h.Name
@@ -238,6 +249,7 @@
 	settings.DeploymentSecret = secret
 	settings.Signers = map[string]string{"operator": d.public}
 	settings.StopTimeoutSeconds = 10
+	settings.Seeds = h.seeds
 	data, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
 		return err
@@ -303,10 +315,39 @@
 	return postJSON("http://"+b.Address+"/_lab/faults", f)
 }
 
-// Runs returns the requests that a backend server ran.
+// Runs returns the requests that a backend server ran, also after its death.
 func (b *Backend) Runs() ([]standin.Run, error) {
 	var runs []standin.Run
-	return runs, getJSON("http://"+b.Address+"/_lab/runs", &runs)
+	dec := json.NewDecoder(strings.NewReader(b.Process.Log()))
+	for {
+		var run standin.Run
+		err := dec.Decode(&run)
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return runs, nil
+		}
+		if err != nil {
+			return runs, err
+		}
+		runs = append(runs, run)
+	}
+}
+
+// Runs returns the requests that the backend servers of a service ran.
+func (d *Deployment) Runs(service string) ([]standin.Run, error) {
+	var all []standin.Run
+	for _, h := range d.Hosts("") {
+		for _, b := range h.Backends {
+			if b.Service != service {
+				continue
+			}
+			runs, err := b.Runs()
+			if err != nil {
+				return nil, err
+			}
+			all = append(all, runs...)
+		}
+	}
+	return all, nil
 }
 
 // Operate runs the operators' command line and returns what it printed.
--- a/pkg/lab/lab.go
+++ b/pkg/lab/lab.go
@@ -73,7 +73,7 @@
 			if err := json.Unmarshal([]byte(c.String("faults")), &faults); err != nil {
 				return err
 			}
-			b := standin.NewBackend(c.String("service"), c.String("version"), c.String("instance"), c.Int("slots"), c.Duration("work"))
+			b := standin.NewBackend(c.String("service"), c.String("version"), c.String("instance"), c.Int("slots"), c.Duration("work"), os.Stdout)
 			b.SetFaults(faults)
 			listener, err := net.Listen("tcp", c.String("listen"))
 			if err != nil {
--- a/pkg/lab/standin/backend.go
+++ b/pkg/lab/standin/backend.go
@@ -69,15 +69,24 @@
 
 	mu       sync.Mutex
 	faults   BackendFaults
-	runs     []Run
+	runs     *json.Encoder
 	inFlight int
 	served   int
 	leaving  bool
 }
 
-// NewBackend returns a backend server that works for the given time on each request.
-func NewBackend(service, version, instance string, slots int, work time.Duration) *Backend {
-	return &Backend{service: service, version: version, instance: instance, slots: slots, work: work, crash: func() { os.Exit(crashStatus) }}
+// NewBackend returns a backend server that works for the given time on each
+// request. It writes each Run to runs before it begins, as a line of JSON.
+func NewBackend(service, version, instance string, slots int, work time.Duration, runs io.Writer) *Backend {
+	return &Backend{
+		service:  service,
+		version:  version,
+		instance: instance,
+		slots:    slots,
+		work:     work,
+		crash:    func() { os.Exit(crashStatus) },
+		runs:     json.NewEncoder(runs),
+	}
 }
 
 // SetFaults replaces the faults.
@@ -87,17 +96,9 @@
 	b.faults = f
 }
 
-// Runs returns the requests that ran.
-func (b *Backend) Runs() []Run {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return append([]Run(nil), b.runs...)
-}
-
 // Handler returns the HTTP handler: requests, and /_lab/ for the laboratory.
 func (b *Backend) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /_lab/runs", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(b.Runs()) })
 	mux.HandleFunc("POST /_lab/faults", func(w http.ResponseWriter, r *http.Request) {
 		var f BackendFaults
 		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
@@ -173,7 +174,7 @@
 func (b *Backend) record(r *http.Request, failed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.runs = append(b.runs, Run{Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.Path, Mark: r.Header.Get(MarkHeader), At: time.Now(), Failed: failed})
+	_ = b.runs.Encode(Run{Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.Path, Mark: r.Header.Get(MarkHeader), At: time.Now(), Failed: failed})
 }
 
 // answer repeats the request's path and mark, so that callers can tell whose answer it is.
