Starting node asks the platform beside its peers, not before them

Cause: the starter asked the platform for the head and the seeds before each try to join, so with a silent platform every try cost two timeouts of 2 s. Ruled out: slow peers (300 ms of delay each) and the quorum, which was complete after the first exchange.

--- a/pkg/node/gossiper.go
+++ b/pkg/node/gossiper.go
@@ -25,6 +25,7 @@
 	largestPushed    = 16 << 10
 	fetchDeadline    = 10 * time.Second
 	flushRounds      = 2
+	exchangesAtOnce  = 32
 )
 
 // gossiper spreads records and releases by push and pull.
@@ -101,7 +102,7 @@
 	if g.members.IsRelay() {
 		targets = append(targets, sample(g.remoteRelays(), fanout)...)
 	}
-	g.exchangeAll(ctx, targets)
+	g.exchangeAll(ctx, addressesOf(targets))
 }
 
 // pushRelease tells peers that lack the newest release of it.
@@ -117,7 +118,15 @@
 	if g.members.IsRelay() {
 		targets = append(targets, g.remoteRelays()...)
 	}
-	g.exchangeAll(ctx, targets)
+	g.exchangeAll(ctx, addressesOf(targets))
+}
+
+func addressesOf(members []*wire.Member) []string {
+	addresses := make([]string, len(members))
+	for i, member := range members {
+		addresses[i] = member.GetAddress()
+	}
+	return addresses
 }
 
 // remoteRelays returns one likely relay, chosen at random, of each other data centre.
@@ -138,14 +147,17 @@
 	return members[:min(n, len(members))]
 }
 
-// exchangeAll exchanges with several members at the same time.
-func (g *gossiper) exchangeAll(ctx context.Context, targets []*wire.Member) {
+// exchangeAll exchanges with several peers at the same time, a few at once.
+func (g *gossiper) exchangeAll(ctx context.Context, addresses []string) {
 	var wg sync.WaitGroup
-	for _, member := range targets {
+	slots := make(chan struct{}, exchangesAtOnce)
+	for _, address := range addresses {
 		wg.Add(1)
+		slots <- struct{}{}
 		go func() {
 			defer wg.Done()
-			_ = g.exchange(ctx, member.GetAddress())
+			_ = g.exchange(ctx, address)
+			<-slots
 		}()
 	}
 	wg.Wait()
--- a/pkg/node/starter.go
+++ b/pkg/node/starter.go
@@ -27,10 +27,12 @@
 // which knows all, or from the other nodes of its data centre.
 type starter struct {
 	*Node
-	mu       sync.Mutex
-	heardBy  map[string]uint64
-	started  bool
-	lease    int64
+	mu      sync.Mutex
+	heardBy map[string]uint64
+	started bool
+	lease   int64
+	// seeds are the addresses last read from the platform.
+	seeds    []string
 	platform struct {
 		answered bool
 		sequence uint64
@@ -39,16 +41,27 @@
 
 func newStarter(n *Node) *starter { return &starter{Node: n, heardBy: make(map[string]uint64)} }
 
-// run joins through seeds until a peer answers, then keeps the fleet joined.
+// run joins through seeds until it has heard enough, then keeps the fleet
+// joined. The platform is asked beside that, so that its outage delays nothing.
 func (s *starter) run(ctx context.Context) {
+	asked := loop(ctx, s.askUntilStarted)
 	pauses := newJoinBackoff(largestJoinPause)
 	for ctx.Err() == nil && !s.isStarted() {
-		s.askPlatform(ctx)
-		s.joinSeeds(ctx)
+		s.join(ctx)
 		s.decide()
 		pause(ctx, pauses.NextBackOff())
 	}
 	s.maintain(ctx)
+	<-asked
+}
+
+func (s *starter) askUntilStarted(ctx context.Context) {
+	pauses := newJoinBackoff(largestJoinPause)
+	for ctx.Err() == nil && !s.isStarted() {
+		s.readSeeds(ctx)
+		s.askPlatform(ctx)
+		pause(ctx, pauses.NextBackOff())
+	}
 }
 
 func (s *starter) isStarted() bool {
@@ -89,16 +102,27 @@
 	return document.Sequence()
 }
 
-// joinSeeds exchanges with the seeds that are not known as members yet, and
-// while this node starts with all nodes that it knows.
-func (s *starter) joinSeeds(ctx context.Context) {
-	addresses := append([]string(nil), s.settings.Seeds...)
+// readSeeds reads the seeds of the deployment from the platform.
+func (s *starter) readSeeds(ctx context.Context) {
 	kvs, err := s.Node.platform.List(ctx, platform.SeedPrefix, seedsRead)
-	if err == nil {
-		for _, kv := range kvs {
-			addresses = append(addresses, string(kv.Value))
-		}
+	if err != nil {
+		return
+	}
+	var seeds []string
+	for _, kv := range kvs {
+		seeds = append(seeds, string(kv.Value))
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeds = seeds
+}
+
+// join exchanges with the seeds that are not known as members yet, and while
+// this node starts with all nodes of its data centre that it knows.
+func (s *starter) join(ctx context.Context) {
+	s.mu.Lock()
+	addresses := append(append([]string(nil), s.settings.Seeds...), s.seeds...)
+	s.mu.Unlock()
 	done := map[string]bool{s.settings.AdvertiseAddress: true}
 	for _, member := range s.members.All() {
 		if s.isStarted() {
@@ -107,12 +131,14 @@
 			addresses = append(addresses, member.GetAddress())
 		}
 	}
+	var targets []string
 	for _, address := range addresses {
 		if !done[address] {
 			done[address] = true
-			_ = s.gossiper.exchange(ctx, address)
+			targets = append(targets, address)
 		}
 	}
+	s.gossiper.exchangeAll(ctx, targets)
 }
 
 // heard notes what a peer holds while this node starts.
@@ -161,7 +187,8 @@
 	for ctx.Err() == nil {
 		if s.members.IsRelay() {
 			s.renewSeed(ctx)
-			s.joinSeeds(ctx)
+			s.readSeeds(ctx)
+			s.join(ctx)
 		}
 		pause(ctx, pauses.NextBackOff())
 	}
