Entry nodes avoid a node they could not reach

Cause: while one node was frozen, entry nodes kept picking its backend server until the membership suspected it; each try cost a second and a retry from the budget, and once that was spent requests were refused as peer_unreachable. Ruled out: admission (no queue was full) and the router's shares. Change: an endpoint whose node could not be reached is picked last for 2 s, and that refusal, which cost no backend server any work, costs no retry budget.

--- a/pkg/fleet/endpoints.go
+++ b/pkg/fleet/endpoints.go
@@ -4,6 +4,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -27,6 +28,9 @@
 	inFlight      atomic.Int32
 	reported      atomic.Int32
 	latencyMicros atomic.Int64
+	// avoidUntil is the Unix time in milliseconds until which the endpoint's
+	// node counts as unreachable from here.
+	avoidUntil atomic.Int64
 }
 
 const latencyWeight = 8
@@ -40,6 +44,14 @@
 // End counts the end of a call.
 func (e *Endpoint) End() { e.observed.inFlight.Add(-1) }
 
+// Avoid notes that the endpoint's node could not be reached, for use until the given time.
+func (e *Endpoint) Avoid(until time.Time) { e.observed.avoidUntil.Store(until.UnixMilli()) }
+
+// Avoided reports whether the endpoint's node lately could not be reached.
+func (e *Endpoint) Avoided(now time.Time) bool {
+	return now.UnixMilli() < e.observed.avoidUntil.Load()
+}
+
 // Observe keeps the owner's in-flight count and the latency of an answer in microseconds.
 func (e *Endpoint) Observe(inFlight int32, latencyMicros int64) {
 	e.observed.reported.Store(inFlight)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -125,7 +125,7 @@
 		Announce:    n.announce,
 	})
 	n.cleanUps = append(n.cleanUps, cleanUp)
-	n.entry = request.NewEntry(n.Common, n.settings.Node, n.owner, n.ward, routing.NewPicker(n.endpoints, n.settings.DataCentre), request.EntryHooks{
+	n.entry = request.NewEntry(n.Common, n.settings.Node, n.owner, n.ward, routing.NewPicker(n.Now, n.endpoints, n.settings.DataCentre), request.EntryHooks{
 		Table:    n.holder.Table,
 		Permille: n.permille,
 		Halted:   n.halted,
--- a/pkg/request/entry.go
+++ b/pkg/request/entry.go
@@ -24,10 +24,12 @@
 )
 
 const (
-	mostAttempts     = 5
-	firstBackoff     = 5 * time.Millisecond
-	largestBackoff   = 100 * time.Millisecond
-	hopAllowance     = 5 * time.Millisecond
+	mostAttempts   = 5
+	firstBackoff   = 5 * time.Millisecond
+	largestBackoff = 100 * time.Millisecond
+	hopAllowance   = 5 * time.Millisecond
+	// avoidTime covers the time in which the membership finds a dead node.
+	avoidTime        = 2 * time.Second
 	sequenceHeader   = "Hibiscusrock-Sequence"
 	versionHeader    = "Hibiscusrock-Version"
 	largestIdemBytes = 256
@@ -251,7 +253,7 @@
 	switch refusal.Reason() {
 	case verdict.NoBackendServer, verdict.CrashCausing, verdict.ClaimMismatch, verdict.ClaimsUnavailable, verdict.CallerGone:
 		return false
-	case verdict.Draining, verdict.UnknownInstance, verdict.VersionHalted, verdict.BackendFailing, verdict.Stopping:
+	case verdict.Draining, verdict.UnknownInstance, verdict.VersionHalted, verdict.BackendFailing, verdict.Stopping, verdict.PeerUnreachable:
 		// These refusals cost no backend server any work.
 		return true
 	case verdict.BackendCrashed:
@@ -285,8 +287,14 @@
 	endpoint.Begin()
 	defer endpoint.End()
 	refusal := e.send(c, endpoint)
-	if refusal != nil && (refusal.Reason() == verdict.VersionHalted || refusal.Reason() == verdict.BackendFailing) {
+	if refusal == nil {
+		return nil
+	}
+	switch refusal.Reason() {
+	case verdict.VersionHalted, verdict.BackendFailing:
 		c.excluded = append(c.excluded, version)
+	case verdict.PeerUnreachable:
+		endpoint.Avoid(e.Now().Add(avoidTime))
 	}
 	return refusal
 }
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fleet"
@@ -60,16 +61,17 @@
 	endpoints  *fleet.Endpoints
 	dataCentre string
 	random     func(n int) int
+	now        func() time.Time
 }
 
 // NewPicker returns a picker that prefers backend servers of dataCentre.
-func NewPicker(endpoints *fleet.Endpoints, dataCentre string) *Picker {
-	return &Picker{endpoints: endpoints, dataCentre: dataCentre, random: rand.IntN}
+func NewPicker(now func() time.Time, endpoints *fleet.Endpoints, dataCentre string) *Picker {
+	return &Picker{endpoints: endpoints, dataCentre: dataCentre, random: rand.IntN, now: now}
 }
 
 // Pick returns a usable backend server of a version, or nil. Those already
-// tried are left out. Backend servers of this data centre go before others,
-// and those on nodes under suspicion come last.
+// tried are left out. Backend servers of this data centre go before others, and
+// those on nodes that are under suspicion or lately unreachable come last.
 func (p *Picker) Pick(service, version string, tried []*fleet.Endpoint) *fleet.Endpoint {
 	usable := p.endpoints.Usable(service, func(r *wire.Endpoint) bool {
 		return r.GetVersion() == version && !wasTried(r, tried)
@@ -101,10 +103,11 @@
 func (p *Picker) bestGroup(usable []*fleet.Endpoint) []*fleet.Endpoint {
 	const groups = 3
 	var byGroup [groups][]*fleet.Endpoint
+	now := p.now()
 	for _, e := range usable {
 		group := 1
 		switch {
-		case p.endpoints.Suspected(e):
+		case p.endpoints.Suspected(e) || e.Avoided(now):
 			group = 2
 		case e.Record().GetDataCentre() == p.dataCentre:
 			group = 0
