Traces: recorded moves, crashes and crossed updates replayed against outcomes

A steward keeps the inputs of its last moves; 'lab record' runs a scenario on a small deployment and writes them with the outcome that the scenario calls for; 'lab replay' drives the same decision code, now behind one type, Pilot, for nodes and replay. Ruled out while writing: a replayed ward created after the first crash misses it; nodes make theirs before they join, so replay does as well.

--- a/pkg/lab/lab.go
+++ b/pkg/lab/lab.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -16,7 +17,9 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/demo"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/deployment"
+	"github.com/hibiscusrock/hibiscusrock/pkg/lab/experiment"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/standin"
+	"github.com/hibiscusrock/hibiscusrock/pkg/trace"
 )
 
 const headerTimeout = 5 * time.Second
@@ -28,7 +31,7 @@
 	command := &cli.Command{
 		Name:     "lab",
 		Usage:    "stand-ins and experiments of hibiscusrock",
-		Commands: []*cli.Command{platformCommand(), backendCommand(), demoCommand()},
+		Commands: []*cli.Command{platformCommand(), backendCommand(), demoCommand(), recordCommand(), replayCommand()},
 	}
 	if err := command.Run(ctx, args); err != nil {
 		_, _ = os.Stderr.WriteString("lab: " + err.Error() + "\n")
@@ -98,6 +101,58 @@
 	}
 }
 
+func recordCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "record",
+		Usage: "run a move on a small deployment and write its trace",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "scenario", Value: "good", Usage: "a kind of version, such as good, bad_late or bad_on_one_route"},
+			&cli.StringFlag{Name: "to", Required: true, Usage: "file to write"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			binaries, err := ownBinaries()
+			if err != nil {
+				return err
+			}
+			f, err := os.Create(c.String("to"))
+			if err != nil {
+				return err
+			}
+			defer func() { _ = f.Close() }()
+			return experiment.Record(ctx, binaries, c.String("scenario"), f)
+		},
+	}
+}
+
+func replayCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "replay",
+		Usage:     "drive the decision code with recorded traces and compare with their outcomes",
+		ArgsUsage: "FILE...",
+		Action: func(_ context.Context, c *cli.Command) error {
+			for _, path := range c.Args().Slice() {
+				if err := replayFile(path); err != nil {
+					return fmt.Errorf("%s: %w", path, err)
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func replayFile(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	text, err := trace.Replay(f)
+	if text != "" {
+		fmt.Println(filepath.Base(path) + ": " + text)
+	}
+	return err
+}
+
 // ownBinaries returns the programs beside this one.
 func ownBinaries() (deployment.Binaries, error) {
 	path, err := os.Executable()
--- a/pkg/node/host.go
+++ b/pkg/node/host.go
@@ -92,6 +92,7 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET /debug/state", n.serveState)
+	mux.HandleFunc("GET /debug/moves/{service}", n.serveTrace)
 	return mux
 }
 
--- a/pkg/node/moves.go
+++ b/pkg/node/moves.go
@@ -32,6 +32,8 @@
 	views      atomic.Pointer[map[string]moveView]
 	tracks     map[string]*moveTrack
 	steward    *steward
+	// recorded keeps what the steward saw, for operators and replay.
+	recorded *moveRecorder
 }
 
 // moveView is what the request path needs to know of one move.
@@ -44,9 +46,7 @@
 
 // moveTrack is what one node remembers of one move.
 type moveTrack struct {
-	sequence uint64
-	track    *rollout.Track
-	state    rollout.State
+	pilot    *rollout.Pilot
 	resumed  bool
 	reported catalog.Report
 	totals   uint64
@@ -56,6 +56,7 @@
 	m := &moves{Node: n, woken: make(chan struct{}, 1), tracks: make(map[string]*moveTrack)}
 	m.views.Store(&map[string]moveView{})
 	m.steward = newSteward(n)
+	m.recorded = newMoveRecorder()
 	n.store.OnChange(m.observe)
 	return m
 }
@@ -164,12 +165,10 @@
 	if !hosts && !m.steward.isActive() {
 		return
 	}
-	t.track.Add(m.Now(), m.evidence(view.move))
-	if view.share != nil {
-		t.track.Begin(time.UnixMilli(view.share.GetSinceUnixMs()))
-	}
+	evidence := m.evidence(view.move)
+	t.pilot.Observe(m.Now(), evidence)
 	if m.steward.isActive() {
-		m.steer(ctx, view, t)
+		m.steer(ctx, view, t, evidence)
 		return
 	}
 	if view.halt == nil && view.share != nil && view.share.GetState() == wire.MoveState_MOVE_STATE_MOVING {
@@ -179,8 +178,8 @@
 
 func (m *moves) trackOf(move *wire.Move) *moveTrack {
 	t := m.tracks[move.GetService()]
-	if t == nil || t.sequence != move.GetSequence() {
-		t = &moveTrack{sequence: move.GetSequence(), track: rollout.NewTrack(move)}
+	if t == nil || t.pilot.Sequence() != move.GetSequence() {
+		t = &moveTrack{pilot: rollout.NewPilot(move)}
 		m.tracks[move.GetService()] = t
 	}
 	return t
@@ -234,31 +233,14 @@
 
 // judge lets an owner node take a bad version back without the steward.
 func (m *moves) judge(view moveView, t *moveTrack) {
-	finding := rollout.Judge(t.track.Short())
-	if finding == nil {
-		finding = rollout.Judge(t.track.Stages()...)
-	}
+	finding := t.pilot.Judge(time.UnixMilli(view.share.GetSinceUnixMs()))
 	if finding != nil {
-		m.setHalt(view.move, finding)
+		m.putHalt(view.move, finding.Halt(view.move, m.settings.DataCentre, m.Now()))
 	}
 }
 
-// setHalt takes a version back everywhere. Halts only ever grow in number, so
+// putHalt takes a version back everywhere. Halts only ever grow in number, so
 // no two nodes can disagree over one for long.
-func (m *moves) setHalt(move *wire.Move, finding *rollout.Finding) {
-	halt := &wire.Halt{
-		Service:    move.GetService(),
-		Version:    move.GetTo(),
-		Sequence:   move.GetSequence(),
-		Cause:      finding.Cause,
-		Route:      finding.Route,
-		Figures:    finding.Figures,
-		DataCentre: m.settings.DataCentre,
-		AtUnixMs:   m.Now().UnixMilli(),
-	}
-	m.putHalt(move, halt)
-}
-
 func (m *moves) putHalt(move *wire.Move, halt *wire.Halt) {
 	if !m.store.Set(&wire.Record{Key: haltKey(move), Body: &wire.Record_Halt{Halt: halt}}) {
 		return
@@ -277,27 +259,24 @@
 }
 
 // steer decides the next share of a move on the steward.
-func (m *moves) steer(ctx context.Context, view moveView, t *moveTrack) {
+func (m *moves) steer(ctx context.Context, view moveView, t *moveTrack, evidence []*wire.Evidence) {
 	if !t.resumed && !m.resume(ctx, view, t) {
 		return
 	}
-	next, finding := rollout.Next(t.state, rollout.Input{
+	sight := rollout.Sight{
 		Now:        m.Now(),
-		Move:       view.move,
 		NewServers: m.countNew(view.move),
 		OldServers: m.endpoints.Count(view.move.GetService(), view.move.GetFrom(), ""),
-		Short:      t.track.Short(),
-		Stages:     t.track.Stages(),
 		Halt:       view.halt,
-	})
+	}
+	m.recorded.record(view.move, sight, evidence)
+	finding, changed := t.pilot.Step(sight)
 	if finding != nil {
-		m.setHalt(view.move, finding)
+		m.putHalt(view.move, finding.Halt(view.move, m.settings.DataCentre, m.Now()))
 		return
 	}
-	changed := next != t.state
-	t.state = next
 	if changed || view.share == nil {
-		m.publishShare(view.move, t)
+		m.publishShare(view.move, t.pilot.State())
 	}
 	m.report(ctx, view, t)
 }
@@ -318,7 +297,7 @@
 	return 0
 }
 
-func (m *moves) publishShare(move *wire.Move, t *moveTrack) {
+func (m *moves) publishShare(move *wire.Move, state rollout.State) {
 	epoch := m.steward.epoch.Load()
 	step := uint64(1)
 	key := shareKey(m.settings.DataCentre, move.GetService())
@@ -329,13 +308,13 @@
 		DataCentre:  m.settings.DataCentre,
 		Service:     move.GetService(),
 		Sequence:    move.GetSequence(),
-		Permille:    uint32(t.state.Permille),
-		State:       t.state.Phase,
-		Note:        t.state.Note,
-		Stage:       uint64(t.state.Stage),
-		SinceUnixMs: t.state.Since.UnixMilli(),
+		Permille:    uint32(state.Permille),
+		State:       state.Phase,
+		Note:        state.Note,
+		Stage:       uint64(state.Stage),
+		SinceUnixMs: state.Since.UnixMilli(),
 	}
-	m.Log().WithField("service", move.GetService()).WithField("permille", t.state.Permille).WithField("note", t.state.Note).Info("share decided")
+	m.Log().WithField("service", move.GetService()).WithField("permille", state.Permille).WithField("note", state.Note).Info("share decided")
 	if !m.store.Set(&wire.Record{Key: key, Epoch: epoch, Step: step, Body: &wire.Record_Share{Share: share}}) {
 		m.steward.standDown("a newer steward decides")
 	}
@@ -349,16 +328,20 @@
 		return false
 	}
 	t.resumed = true
+	state := t.pilot.State()
+	if found {
+		state = stateFromReport(report)
+	}
 	if view.share != nil {
-		t.state = stateFromShare(view.share)
+		state = stateFromShare(view.share)
+	}
+	if found {
+		state.Begun = report.Begun
 	}
+	t.pilot.Resume(state)
 	if !found {
 		return true
 	}
-	t.state.Begun = report.Begun
-	if view.share == nil {
-		t.state = stateFromReport(report)
-	}
 	if report.Halt != nil && view.halt == nil {
 		m.putHalt(view.move, haltFromReport(view.move, report.Halt))
 	}
@@ -404,18 +387,19 @@
 
 // report tells the operators, through the platform, when something changed.
 func (m *moves) report(ctx context.Context, view moveView, t *moveTrack) {
+	state := t.pilot.State()
 	r := catalog.Report{
 		Sequence:   view.move.GetSequence(),
 		DataCentre: m.settings.DataCentre,
 		Service:    view.move.GetService(),
 		Version:    view.move.GetTo(),
-		State:      stateName(t.state.Phase),
-		Permille:   t.state.Permille,
-		Note:       t.state.Note,
-		Begun:      t.state.Begun,
-		Since:      t.state.Since,
+		State:      stateName(state.Phase),
+		Permille:   state.Permille,
+		Note:       state.Note,
+		Begun:      state.Begun,
+		Since:      state.Since,
 	}
-	if t.state.Phase == wire.MoveState_MOVE_STATE_TAKEN_BACK && view.halt != nil {
+	if state.Phase == wire.MoveState_MOVE_STATE_TAKEN_BACK && view.halt != nil {
 		h := view.halt
 		r.Halt = &catalog.HaltReport{Cause: h.GetCause(), Route: h.GetRoute(), Figures: h.GetFigures(), DataCentre: h.GetDataCentre(), At: time.UnixMilli(h.GetAtUnixMs())}
 	}
--- /dev/null
+++ b/pkg/trace/replay.go
@@ -0,0 +1,235 @@
+package trace
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/distribution"
+	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
+	"github.com/hibiscusrock/hibiscusrock/pkg/keys"
+	"github.com/hibiscusrock/hibiscusrock/pkg/quarantine"
+	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+// Replay drives the decision code with a trace. It returns what happened in
+// words, and an error when that is not what the trace states.
+func Replay(r io.Reader) (string, error) {
+	lines, err := Read(r)
+	if err != nil {
+		return "", err
+	}
+	switch lines[0].Kind {
+	case KindMove:
+		return replayMove(lines)
+	case KindCrash:
+		return replayCrashes(lines)
+	case KindReleases:
+		return replayReleases(lines)
+	}
+	return "", fmt.Errorf("unknown kind of trace %q", lines[0].Kind)
+}
+
+// replayedMove is the state of a replay of a move.
+type replayedMove struct {
+	pilot *rollout.Pilot
+	move  *wire.Move
+	halt  *wire.Halt
+	began time.Time
+	ended time.Time
+	most  int
+}
+
+func replayMove(lines []Line) (string, error) {
+	m := &replayedMove{move: lines[0].Move, pilot: rollout.NewPilot(lines[0].Move)}
+	for _, line := range lines {
+		if line.Step != nil {
+			m.step(line.Step)
+		}
+	}
+	return m.compare(lines[len(lines)-1].Outcome)
+}
+
+func (m *replayedMove) step(s *Step) {
+	if m.began.IsZero() {
+		m.began = s.At()
+	}
+	m.pilot.Observe(s.At(), s.Evidence)
+	finding, _ := m.pilot.Step(rollout.Sight{Now: s.At(), NewServers: s.NewServers, OldServers: s.OldServers, Halt: m.halt})
+	if finding != nil {
+		m.halt = finding.Halt(m.move, "", s.At())
+	}
+	state := m.pilot.State()
+	m.most = max(m.most, state.Permille)
+	if m.ended.IsZero() && state.Phase != wire.MoveState_MOVE_STATE_MOVING {
+		m.ended = s.At()
+	}
+}
+
+func (m *replayedMove) compare(want *Outcome) (string, error) {
+	state := m.pilot.State()
+	got := Outcome{State: stateName(state.Phase), Cause: m.halt.GetCause(), Route: m.halt.GetRoute()}
+	text := fmt.Sprintf("%s, largest share %d permille: %s", got.State, m.most, state.Note)
+	took := m.ended.Sub(m.began).Milliseconds()
+	switch {
+	case got.State != want.State:
+		return text, fmt.Errorf("the move is %s, want %s", got.State, want.State)
+	case want.Cause != "" && got.Cause != want.Cause:
+		return text, fmt.Errorf("taken back for %q, want %q", got.Cause, want.Cause)
+	case want.Route != "" && got.Route != want.Route:
+		return text, fmt.Errorf("taken back on %q, want %q", got.Route, want.Route)
+	case want.WithinMS > 0 && took > want.WithinMS:
+		return text, fmt.Errorf("the move ended after %d ms, want at most %d", took, want.WithinMS)
+	case want.MostPermille > 0 && m.most > want.MostPermille:
+		return text, fmt.Errorf("the share reached %d permille, want at most %d", m.most, want.MostPermille)
+	}
+	return text, nil
+}
+
+func stateName(phase wire.MoveState) string {
+	switch phase {
+	case wire.MoveState_MOVE_STATE_DONE:
+		return "done"
+	case wire.MoveState_MOVE_STATE_TAKEN_BACK:
+		return "taken_back"
+	}
+	return "moving"
+}
+
+func replayCrashes(lines []Line) (string, error) {
+	wards := newWards(lines)
+	sent, refused := 0, 0
+	for i, line := range lines {
+		c := line.Crash
+		if c == nil {
+			continue
+		}
+		ward := wards[c.Node]
+		switch c.Event {
+		case "crashed":
+			ward.Crashed(c.Fingerprint, c.Life)
+		case "succeeded":
+			ward.Succeeded(c.Fingerprint)
+		case "sent":
+			sent++
+			got := ward.Blocked(c.Fingerprint)
+			if got {
+				refused++
+			}
+			if got != c.Refused {
+				return "", fmt.Errorf("line %d: request %s refused is %v, want %v", i+1, c.Fingerprint, got, c.Refused)
+			}
+		}
+	}
+	return fmt.Sprintf("%d of %d requests refused", refused, sent), nil
+}
+
+// newWards returns a ward for each node of a trace, over one store.
+func newWards(lines []Line) map[string]*quarantine.Ward {
+	store := gossip.New()
+	wards := make(map[string]*quarantine.Ward)
+	for _, line := range lines {
+		if line.Crash != nil && wards[line.Crash.Node] == nil {
+			wards[line.Crash.Node] = quarantine.NewWard(common.New(), store, line.Crash.Node, func() uint64 { return 1 })
+		}
+	}
+	return wards
+}
+
+func replayReleases(lines []Line) (string, error) {
+	h, history, err := newHistory(lines)
+	if err != nil {
+		return "", err
+	}
+	for i, line := range lines {
+		if line.Offer == nil {
+			continue
+		}
+		signed := history.documents[line.Offer.Sequence-1].Signed()
+		if line.Offer.Altered {
+			signed = &wire.SignedRelease{Body: append([]byte{}, signed.GetBody()...), Signatures: nil}
+		}
+		_ = h.Offer(context.Background(), signed, history.source())
+		if got := h.Table().Sequence(); got != line.Offer.InForce {
+			return "", fmt.Errorf("line %d: release %d is in force after %d was offered, want %d", i+1, got, line.Offer.Sequence, line.Offer.InForce)
+		}
+	}
+	return fmt.Sprintf("release %d is in force", h.Table().Sequence()), nil
+}
+
+// history is a made-up chain of releases, as long as a trace needs.
+type history struct {
+	documents []*bundle.Document
+	manifests []bundle.Manifest
+	parts     map[string][]byte
+}
+
+func newHistory(lines []Line) (*distribution.Holder, *history, error) {
+	key, err := keys.Generate("trace", nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	ring, err := keys.NewRing(map[string]string{"trace": key.Public()}, 1)
+	if err != nil {
+		return nil, nil, err
+	}
+	hist := &history{parts: make(map[string][]byte)}
+	for _, line := range lines {
+		for line.Offer != nil && uint64(len(hist.documents)) < line.Offer.Sequence {
+			if err := hist.add(key); err != nil {
+				return nil, nil, err
+			}
+		}
+	}
+	h := distribution.New(common.New(), ring)
+	h.Start(0)
+	return h, hist, nil
+}
+
+func (hist *history) add(key *keys.Key) error {
+	n := len(hist.documents)
+	b := &bundle.Bundle{
+		Name:        fmt.Sprintf("release-%d", n+1),
+		DataCentres: []string{"plateau"},
+		Services:    map[string]bundle.Service{"quote": {SharePercent: map[string]int{fmt.Sprintf("v%d", n+1): 100}, QueueLength: 1, RetryPercent: 1}},
+	}
+	var parent *bundle.Document
+	var manifest bundle.Manifest
+	if n > 0 {
+		parent, manifest = hist.documents[n-1], hist.manifests[n-1]
+	}
+	draft, err := bundle.NewDraft(b, parent, manifest, "trace", time.Now())
+	if err != nil {
+		return err
+	}
+	draft.Document().Sign(key)
+	hist.documents = append(hist.documents, draft.Document())
+	hist.manifests = append(hist.manifests, draft.Manifest())
+	for id, data := range draft.Parts() {
+		hist.parts[id] = data
+	}
+	return nil
+}
+
+func (hist *history) source() distribution.Source {
+	return distribution.Source{
+		Release: func(_ context.Context, sequence uint64) (*wire.SignedRelease, error) {
+			return hist.documents[sequence-1].Signed(), nil
+		},
+		Manifest: func(_ context.Context, d *bundle.Document) (bundle.Manifest, error) {
+			return hist.manifests[d.Sequence()-1], nil
+		},
+		Parts: func(_ context.Context, hashes [][]byte) ([][]byte, error) {
+			parts := make([][]byte, len(hashes))
+			for i, hash := range hashes {
+				parts[i] = hist.parts[hex.EncodeToString(hash)]
+			}
+			return parts, nil
+		},
+	}
+}
