Bench and slopes; evidence goes to the relays only; late faults judged again

It also showed that a version failing after completion was never judged, because without traffic on the old version its rate counts as one half. Change: evidence goes straight to the three relays of the data centre, every 0.5 s or at once after a failure, and they judge; a completed version is set beside the old one's past, and a suspicion starts a new comparison at one half. A suspicion no longer holds a share past the last tenth of the time.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STATICCHECK := $(GO) run honnef.co/go/tools/cmd/staticcheck@v0.8.2
 REVIVE := $(GO) run github.com/mgechev/revive@v1.17.0
 
-.PHONY: build demo test lint format generate
+.PHONY: build demo bench test lint format generate
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -12,6 +12,9 @@
 demo: build
 	$(BIN)/lab demo
 
+bench: build
+	$(BIN)/lab bench --json bench.json
+
 test: build
 	HIBISCUSROCK_BIN=$(CURDIR)/$(BIN) $(GO) test -count=1 -timeout 15m ./...
 
--- a/pkg/distribution/holder_test.go
+++ b/pkg/distribution/holder_test.go
@@ -103,13 +103,16 @@
 	return d.Signed()
 }
 
+// badRelease is one way in which a release is bad, and the kind of its refusal.
+type badRelease struct {
+	change func(*chain, *wire.SignedRelease, *Source) *wire.SignedRelease
+	kind   fault.Kind
+}
+
 // TestHoldsBadBundleNeverInPart: of a release that fails any check nothing is
 // enforced and nothing kept.
 func TestHoldsBadBundleNeverInPart(t *testing.T) {
-	tests := map[string]struct {
-		change func(*chain, *wire.SignedRelease, *Source) *wire.SignedRelease
-		kind   fault.Kind
-	}{
+	tests := map[string]badRelease{
 		"altered part": {kind: fault.KindInvalid, change: func(c *chain, s *wire.SignedRelease, _ *Source) *wire.SignedRelease {
 			for id := range c.parts {
 				c.parts[id] = append(slices.Clone(c.parts[id]), ' ')
@@ -154,30 +157,32 @@
 		}},
 	}
 	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			c := newChain(t)
-			h := New(common.New(), c.ring)
-			h.Start(0)
-			if err := h.Offer(context.Background(), c.add("archive"), c.source()); err != nil {
-				t.Fatalf("good release refused: %v", err)
-			}
-			before := len(h.parts)
-			second := c.add("archive", "quote", "booking")
-			source := c.source()
-			err := h.Offer(context.Background(), test.change(c, second, &source), source)
-			if got := fault.KindOf(err); err == nil || got != test.kind {
-				t.Errorf("got error %v of kind %q, want kind %q", err, got, test.kind)
-			}
-			if got := h.Table().Sequence(); got != 1 {
-				t.Errorf("sequence %d is in force, want 1", got)
-			}
-			if h.Table().Service("quote") != nil || h.Table().Match("", "GET", "/quote") != nil {
-				t.Error("a part of the refused release is in force")
-			}
-			if got := len(h.parts); got != before {
-				t.Errorf("%d parts are kept, want %d", got, before)
-			}
-		})
+		t.Run(name, func(t *testing.T) { offerBad(t, test) })
+	}
+}
+
+func offerBad(t *testing.T, test badRelease) {
+	c := newChain(t)
+	h := New(common.New(), c.ring)
+	h.Start(0)
+	if err := h.Offer(context.Background(), c.add("archive"), c.source()); err != nil {
+		t.Fatalf("good release refused: %v", err)
+	}
+	before := len(h.parts)
+	second := c.add("archive", "quote", "booking")
+	source := c.source()
+	err := h.Offer(context.Background(), test.change(c, second, &source), source)
+	if got := fault.KindOf(err); err == nil || got != test.kind {
+		t.Errorf("got error %v of kind %q, want kind %q", err, got, test.kind)
+	}
+	if got := h.Table().Sequence(); got != 1 {
+		t.Errorf("sequence %d is in force, want 1", got)
+	}
+	if h.Table().Service("quote") != nil || h.Table().Match("", "GET", "/quote") != nil {
+		t.Error("a part of the refused release is in force")
+	}
+	if got := len(h.parts); got != before {
+		t.Errorf("%d parts are kept, want %d", got, before)
 	}
 }
 
--- a/pkg/gossip/store.go
+++ b/pkg/gossip/store.go
@@ -89,6 +89,9 @@
 	if !s.merge(r) {
 		return false
 	}
+	if isAddressed(r.GetKey()) {
+		return true
+	}
 	s.rumours.add(r.GetKey())
 	for _, changed := range s.onSource {
 		changed(r)
@@ -105,7 +108,7 @@
 			continue
 		}
 		fresh++
-		if rumour {
+		if rumour && !isAddressed(r.GetKey()) {
 			s.rumours.add(r.GetKey())
 		}
 	}
@@ -314,6 +317,10 @@
 	return !strings.HasPrefix(key, PrefixShare) && !strings.HasPrefix(key, PrefixEvidence)
 }
 
+// isAddressed reports whether records of a kind are sent to those who need
+// them, instead of being spread to all.
+func isAddressed(key string) bool { return strings.HasPrefix(key, PrefixEvidence) }
+
 func bucketOf(key string) int { return int(xxhash.Sum64String(key) >> 56) }
 
 func digestOf(r *wire.Record) uint64 {
--- /dev/null
+++ b/pkg/lab/bench/requests.go
@@ -0,0 +1,248 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/lab/deployment"
+	"github.com/hibiscusrock/hibiscusrock/pkg/lab/experiment"
+	"github.com/hibiscusrock/hibiscusrock/pkg/lab/load"
+)
+
+// Added is the time that the system adds to a call, against a direct one.
+type Added struct {
+	DirectMedianMS float64 `json:"direct_median_ms"`
+	DirectP99MS    float64 `json:"direct_p99_ms"`
+	OneMedianMS    float64 `json:"one_node_added_median_ms"`
+	OneP99MS       float64 `json:"one_node_added_p99_ms"`
+	TwoMedianMS    float64 `json:"two_nodes_added_median_ms"`
+	TwoP99MS       float64 `json:"two_nodes_added_p99_ms"`
+}
+
+// Goodput is what is answered in time under twice the load that fits.
+type Goodput struct {
+	CapacityPerSecond float64        `json:"capacity_per_second"`
+	OfferedPerSecond  float64        `json:"offered_per_second"`
+	AnsweredPerSecond float64        `json:"answered_per_second"`
+	Refused           map[string]int `json:"refused"`
+}
+
+// Bookings is how often bookings ran, by the backend servers' own records.
+type Bookings struct {
+	Sent     int `json:"sent"`
+	Answered int `json:"answered"`
+	MostRuns int `json:"most_runs"`
+}
+
+// measureAdded calls a backend server directly, through its own node and
+// through another node of its data centre, in turns.
+func (r *run) measureAdded(ctx context.Context) error {
+	const service = "probe"
+	tool, cleanUp, err := newOperatorTool(r.d)
+	if err != nil {
+		return err
+	}
+	defer cleanUp()
+	bundle := fmt.Sprintf(`{"name": "probe", "data_centres": [%q], "services": {"probe": {"share_percent": {"v1": 100}}, "target": {"share_percent": {"v1": 100}}},
+		"routes": [{"name": "probe", "path_prefix": "/probe", "service": "probe"}, {"name": "target", "path_prefix": "/target", "service": "target", "timeout_ms": 300}]}`, r.site.DataCentres[0])
+	sequence, _, err := tool.rollOut(ctx, bundle)
+	if err != nil {
+		return err
+	}
+	if _, err := deployment.WaitEnforced(ctx, r.d.Hosts(""), sequence, settleLimit); err != nil {
+		return err
+	}
+	hosts := r.d.Hosts(r.site.DataCentres[0])
+	b, err := r.d.AddBackend(hosts[0], deployment.BackendOptions{Service: service, Version: "v1", Slots: r.site.Slots, Work: 0})
+	if err != nil {
+		return err
+	}
+	if err := deployment.WaitEndpoints(ctx, r.d.Hosts(""), service, 1, settleLimit); err != nil {
+		return err
+	}
+	ways := []string{b.Address, hosts[0].CallerAddress(), hosts[1].CallerAddress()}
+	took := make([][]time.Duration, len(ways))
+	client := load.NewClient(requestTimeout)
+	defer client.CloseIdleConnections()
+	for range measuredRequests {
+		for way, address := range ways {
+			a := load.Send(ctx, client, http.MethodGet, "http://"+address+"/probe", "")
+			if a.Status != http.StatusOK {
+				return fmt.Errorf("probe through %s: status %d, %s %s", address, a.Status, a.Reason, a.Err)
+			}
+			took[way] = append(took[way], a.Took)
+		}
+	}
+	median := func(way int) float64 { return millis(quantile(took[way], 0.5)) }
+	p99 := func(way int) float64 { return millis(quantile(took[way], 0.99)) }
+	r.report.Added = Added{
+		DirectMedianMS: median(0), DirectP99MS: p99(0),
+		OneMedianMS: median(1) - median(0), OneP99MS: p99(1) - p99(0),
+		TwoMedianMS: median(2) - median(0), TwoP99MS: p99(2) - p99(0),
+	}
+	return nil
+}
+
+// measureGoodput offers one service twice what its backend servers can do.
+func (r *run) measureGoodput(ctx context.Context) error {
+	const (
+		servers  = 2
+		slowWork = 20 * time.Millisecond
+		seconds  = 5
+		overload = 2
+	)
+	hosts := r.d.Hosts(r.site.DataCentres[0])
+	for i := range servers {
+		if _, err := r.d.AddBackend(hosts[i], deployment.BackendOptions{Service: "target", Version: "v1", Slots: r.site.Slots, Work: slowWork}); err != nil {
+			return err
+		}
+	}
+	if err := deployment.WaitEndpoints(ctx, r.d.Hosts(""), "target", servers, settleLimit); err != nil {
+		return err
+	}
+	capacity := float64(servers*r.site.Slots) / slowWork.Seconds()
+	plan := load.Plan{Addresses: r.entries(), Method: http.MethodGet, Path: "/target", PerSecond: overload * capacity, Requests: int(overload * capacity * seconds), Workers: 256, Timeout: requestTimeout}
+	began := time.Now()
+	result := load.Run(ctx, plan)
+	took := time.Since(began).Seconds()
+	r.report.Goodput = Goodput{
+		CapacityPerSecond: capacity,
+		OfferedPerSecond:  float64(len(result.Answers)) / took,
+		AnsweredPerSecond: float64(result.Succeeded()) / took,
+		Refused:           result.Failures(),
+	}
+	return nil
+}
+
+func (r *run) entries() []string {
+	var addresses []string
+	for _, h := range r.d.Hosts("") {
+		addresses = append(addresses, h.CallerAddress())
+	}
+	return addresses
+}
+
+// measureBookings sends keyed bookings, each twice at the same time, while a node is killed.
+func (r *run) measureBookings(ctx context.Context) error {
+	const bookings = 300
+	tool, cleanUp, err := newOperatorTool(r.d)
+	if err != nil {
+		return err
+	}
+	defer cleanUp()
+	if _, _, err := r.change(ctx, tool, 1000); err != nil {
+		return err
+	}
+	service := r.site.Services[1].Name
+	done := make(chan load.Result, 1)
+	plan := load.Plan{Addresses: r.entries(), Method: http.MethodPost, Path: "/" + service, Keyed: true, PerSecond: 100, Requests: bookings, Workers: 32, Timeout: requestTimeout}
+	go func() { done <- load.Run(ctx, plan) }()
+	time.Sleep(time.Second)
+	killed := r.d.Hosts("")[len(r.d.Hosts(""))-1]
+	killed.Node.Kill()
+	if err := r.d.StartNode(killed); err != nil {
+		return err
+	}
+	result := <-done
+	client := load.NewClient(requestTimeout)
+	defer client.CloseIdleConnections()
+	for i, a := range result.Answers {
+		load.Send(ctx, client, http.MethodPost, "http://"+plan.Addresses[(i+1)%len(plan.Addresses)]+plan.Path, a.Key)
+	}
+	runs, err := r.d.Runs(service)
+	if err != nil {
+		return err
+	}
+	counts := make(map[string]int)
+	most := 0
+	for _, run := range runs {
+		counts[run.Key]++
+		most = max(most, counts[run.Key])
+	}
+	r.report.Bookings = Bookings{Sent: bookings, Answered: result.Succeeded(), MostRuns: most}
+	return nil
+}
+
+// Moves sums up the moves of good and of bad versions.
+type Moves struct {
+	Good         int     `json:"good"`
+	GoodInTime   int     `json:"good_in_time"`
+	Bad          int     `json:"bad"`
+	BadTakenBack int     `json:"bad_taken_back"`
+	BadPermille  float64 `json:"bad_share_permille"`
+	WorstAfterMS int64   `json:"worst_after_fault_ms"`
+	// BytesPerSecond is the control traffic of a node while the moves run.
+	BytesPerSecond float64                 `json:"bytes_per_second"`
+	All            []experiment.MoveResult `json:"all"`
+}
+
+// measureMoves runs moves of every scenario at the same time, in rounds.
+func (r *run) measureMoves(ctx context.Context) error {
+	rounds := defaultMoves
+	if r.short {
+		rounds = 1
+	}
+	for round := range rounds {
+		before, err := measureUsage(ctx, r.d)
+		if err != nil {
+			return err
+		}
+		results, err := r.moveAll(ctx, round)
+		if err != nil {
+			return err
+		}
+		after, err := measureUsage(ctx, r.d)
+		if err != nil {
+			return err
+		}
+		r.report.Moves.add(results)
+		bytes := (after.bytes - before.bytes) / float64(len(r.d.Hosts(""))) / after.at.Sub(before.at).Seconds()
+		r.report.Moves.BytesPerSecond = max(r.report.Moves.BytesPerSecond, bytes)
+	}
+	return nil
+}
+
+// moveAll runs one round of moves: one of each bad kind, three of each good one.
+func (r *run) moveAll(ctx context.Context, round int) ([]experiment.MoveResult, error) {
+	const goodCopies = 3
+	m := &experiment.Moves{D: r.d, DataCentres: r.site.DataCentres, Seconds: moveSeconds, PerSecond: movePerSecond, Round: 2*round + 1}
+	for name, move := range experiment.Scenarios() {
+		copies := 1
+		if !move.Bad {
+			copies = goodCopies
+		}
+		for i := range copies {
+			move.Scenario = name
+			move.Service = fmt.Sprintf("m%d-%s-%d", round, name, i)
+			m.Moves = append(m.Moves, move)
+		}
+	}
+	r.say("running %d moves", len(m.Moves))
+	return m.Run(ctx)
+}
+
+func (m *Moves) add(results []experiment.MoveResult) {
+	requests, bad := 0, 0
+	for _, r := range results {
+		m.All = append(m.All, r)
+		if !r.Bad {
+			m.Good++
+			if r.Right() {
+				m.GoodInTime++
+			}
+			continue
+		}
+		m.Bad++
+		requests += r.Requests
+		bad += r.NewRequests
+		m.WorstAfterMS = max(m.WorstAfterMS, r.LastAfterMS)
+		if r.Right() {
+			m.BadTakenBack++
+		}
+	}
+	if requests > 0 {
+		m.BadPermille = max(m.BadPermille, 1000*float64(bad)/float64(requests))
+	}
+}
--- a/pkg/lab/experiment/moves.go
+++ b/pkg/lab/experiment/moves.go
@@ -47,11 +47,12 @@
 		"good_noisy":         {Faults: standin.BackendFaults{FailPercent: 2}, OldFaults: standin.BackendFaults{FailPercent: 2}},
 		"bad_at_once":        {Faults: standin.BackendFaults{FailPercent: 100}, Bad: true},
 		"bad_in_part":        {Faults: standin.BackendFaults{FailPercent: 40}, Bad: true},
-		"bad_late":           {Faults: standin.BackendFaults{FailPercent: 100, AfterRequests: 60}, Bad: true},
+		"bad_late":           {Faults: standin.BackendFaults{FailPercent: 100, AfterRequests: 20}, Bad: true},
+		"bad_after_done":     {Faults: standin.BackendFaults{FailPercent: 100, AfterRequests: 120}, Bad: true},
 		"bad_on_one_route":   {Faults: standin.BackendFaults{FailPercent: 100, FailRoute: "/b/"}, Bad: true},
 		"bad_slow":           {Faults: standin.BackendFaults{SlowMS: 60}, Bad: true},
-		"bad_slow_late":      {Faults: standin.BackendFaults{SlowMS: 60, AfterRequests: 60}, Bad: true},
-		"bad_under_load":     {Faults: standin.BackendFaults{FailPercent: 100, OverPerSecond: 25}, Bad: true},
+		"bad_slow_late":      {Faults: standin.BackendFaults{SlowMS: 60, AfterRequests: 20}, Bad: true},
+		"bad_under_load":     {Faults: standin.BackendFaults{FailPercent: 100, OverPerSecond: 8}, Bad: true},
 		"bad_slow_one_route": {Faults: standin.BackendFaults{SlowMS: 60, FailRoute: "/b/"}, Bad: true},
 	}
 }
@@ -199,7 +200,18 @@
 	load.Run(ctx, load.Plan{Addresses: addresses, Method: http.MethodGet, Path: path, PerSecond: m.PerSecond, Requests: requests, Workers: loadWorkers, Timeout: requestTimeout})
 }
 
-// wait follows the moves until all have ended or are long late.
+// wanted returns the state in which the move of a service should end.
+func (m *Moves) wanted(service string) string {
+	for _, move := range m.Moves {
+		if move.Service == service && move.Bad {
+			return catalog.StateTakenBack
+		}
+	}
+	return catalog.StateDone
+}
+
+// wait follows the moves until all have ended as they should, or are long late.
+// A bad version whose fault shows late may be done before it is taken back.
 func (m *Moves) wait(ctx context.Context, sequence uint64) (map[string]catalog.Outcome, error) {
 	limit := time.Duration(2*m.Seconds) * time.Second
 	outcomes := make(map[string]catalog.Outcome)
@@ -212,26 +224,26 @@
 		if err := json.Unmarshal([]byte(out), &all); err != nil {
 			return err
 		}
-		moving := 0
+		waiting := 0
 		for _, outcome := range all {
 			outcomes[outcome.Service] = outcome
-			if outcome.State == catalog.StateMoving {
-				moving++
+			if outcome.State != m.wanted(outcome.Service) {
+				waiting++
 			}
 		}
-		if moving > 0 {
-			return errMoving
+		if waiting > 0 {
+			return errWaiting
 		}
 		return nil
 	})
-	if err != nil && !errors.Is(err, errMoving) {
+	if err != nil && !errors.Is(err, errWaiting) {
 		return nil, fmt.Errorf("release %d: %w", sequence, err)
 	}
 	time.Sleep(afterMove)
 	return outcomes, nil
 }
 
-var errMoving = errors.New("moves are still under way")
+var errWaiting = errors.New("moves have not ended as they should")
 
 func (m *Moves) results(outcomes map[string]catalog.Outcome) ([]MoveResult, error) {
 	var results []MoveResult
@@ -251,35 +263,58 @@
 }
 
 func (m *Moves) countRuns(move Move, r *MoveResult) error {
+	fresh, err := runsOf(m.fresh[move.Service])
+	if err != nil {
+		return err
+	}
+	old, err := runsOf(m.old[move.Service])
+	if err != nil {
+		return err
+	}
 	var shown, last time.Time
-	for _, b := range m.fresh[move.Service] {
-		runs, err := b.Runs()
-		if err != nil {
-			return err
-		}
+	for _, runs := range fresh {
 		r.NewRequests += len(runs)
 		for i, run := range runs {
-			slow := move.Faults.SlowMS > 0 && i >= move.Faults.AfterRequests && strings.HasPrefix(run.Path, move.Faults.FailRoute)
-			if (run.Failed || slow) && (shown.IsZero() || run.At.Before(shown)) {
+			last = latest(last, run.At)
+			if move.isFaulty(i, run) && (shown.IsZero() || run.At.Before(shown)) {
 				shown = run.At
 			}
-			if run.At.After(last) {
-				last = run.At
-			}
 		}
 	}
 	if !shown.IsZero() {
 		r.LastAfterMS = last.Sub(shown).Milliseconds()
 	}
-	for _, b := range m.old[move.Service] {
+	r.Requests = r.NewRequests
+	for _, runs := range old {
+		r.Requests += len(runs)
+	}
+	return nil
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// runsOf returns the runs of each backend server.
+func runsOf(backends []*deployment.Backend) ([][]standin.Run, error) {
+	all := make([][]standin.Run, 0, len(backends))
+	for _, b := range backends {
 		runs, err := b.Runs()
 		if err != nil {
-			return err
+			return nil, err
 		}
-		r.Requests += len(runs)
+		all = append(all, runs)
 	}
-	r.Requests += r.NewRequests
-	return nil
+	return all, nil
+}
+
+// isFaulty reports whether the i-th run of a new backend server met its fault.
+func (move Move) isFaulty(i int, run standin.Run) bool {
+	slow := move.Faults.SlowMS > 0 && i >= move.Faults.AfterRequests && strings.HasPrefix(run.Path, move.Faults.FailRoute)
+	return run.Failed || slow
 }
 
 // Trace fetches what the steward of a data centre recorded of a move.
--- a/pkg/lab/lab.go
+++ b/pkg/lab/lab.go
@@ -15,6 +15,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/hibiscusrock/hibiscusrock/pkg/lab/bench"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/demo"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/deployment"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/experiment"
@@ -31,7 +32,7 @@
 	command := &cli.Command{
 		Name:     "lab",
 		Usage:    "stand-ins and experiments of hibiscusrock",
-		Commands: []*cli.Command{platformCommand(), backendCommand(), demoCommand(), recordCommand(), replayCommand()},
+		Commands: []*cli.Command{platformCommand(), backendCommand(), demoCommand(), benchCommand(), slopesCommand(), recordCommand(), replayCommand()},
 	}
 	if err := command.Run(ctx, args); err != nil {
 		_, _ = os.Stderr.WriteString("lab: " + err.Error() + "\n")
@@ -101,6 +102,52 @@
 	}
 }
 
+func benchCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "bench",
+		Usage: "measure deployments of today's sizes",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "site", Usage: "ndiaye or authority; both if empty"},
+			&cli.BoolFlag{Name: "short", Usage: "fewer releases and moves"},
+			&cli.StringFlag{Name: "json", Usage: "file for the figures"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			binaries, err := ownBinaries()
+			if err != nil {
+				return err
+			}
+			return bench.Run(ctx, binaries, os.Stdout, bench.Options{Site: c.String("site"), Short: c.Bool("short"), JSON: c.String("json")})
+		},
+	}
+}
+
+func slopesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "slopes",
+		Usage: "measure the cost of control at several sizes of fleet and bundle",
+		Flags: []cli.Flag{
+			&cli.IntSliceFlag{Name: "nodes", Value: []int{12, 48, 150}, Usage: "fleet sizes, with the first number of services"},
+			&cli.IntSliceFlag{Name: "services", Value: []int{10, 200, 1000}, Usage: "numbers of services, with the first fleet size"},
+			&cli.StringFlag{Name: "json", Usage: "file for the figures"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			binaries, err := ownBinaries()
+			if err != nil {
+				return err
+			}
+			nodes, services := c.IntSlice("nodes"), c.IntSlice("services")
+			var sizes []bench.Slope
+			for _, n := range nodes {
+				sizes = append(sizes, bench.Slope{Nodes: n, Services: services[0]})
+			}
+			for _, n := range services[1:] {
+				sizes = append(sizes, bench.Slope{Nodes: nodes[0], Services: n})
+			}
+			return bench.Slopes(ctx, binaries, os.Stdout, sizes, c.String("json"))
+		},
+	}
+}
+
 func recordCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "record",
--- a/pkg/node/gossiper.go
+++ b/pkg/node/gossiper.go
@@ -26,6 +26,8 @@
 	fetchDeadline    = 10 * time.Second
 	flushRounds      = 2
 	exchangesAtOnce  = 32
+	addressedTimeout = time.Second
+	addressedWaiting = 256
 )
 
 // gossiper spreads records and releases by push and pull.
@@ -34,12 +36,13 @@
 	woken       chan struct{}
 	released    chan struct{}
 	fetching    atomic.Bool
+	addressed   chan *wire.Record
 	mu          sync.Mutex
 	lastCompare time.Time
 }
 
 func newGossiper(n *Node) *gossiper {
-	g := &gossiper{Node: n, woken: make(chan struct{}, 1), released: make(chan struct{}, 1)}
+	g := &gossiper{Node: n, woken: make(chan struct{}, 1), released: make(chan struct{}, 1), addressed: make(chan *wire.Record, addressedWaiting)}
 	n.store.OnLocal(func(*wire.Record) { wake(g.woken) })
 	return g
 }
@@ -163,6 +166,53 @@
 	wg.Wait()
 }
 
+// sendToRelays queues a record for the relays of this data centre and no others.
+func (g *gossiper) sendToRelays(r *wire.Record) {
+	select {
+	case g.addressed <- r:
+	default:
+		g.Count(`hibiscusrock_evidence_lost_total{reason="queue_full"}`)
+	}
+}
+
+// runAddressed sends the queued records, all that wait in one message.
+func (g *gossiper) runAddressed(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-g.addressed:
+			g.sendAddressed(ctx, g.takeAddressed(r))
+		}
+	}
+}
+
+func (g *gossiper) takeAddressed(first *wire.Record) []*wire.Record {
+	records := []*wire.Record{first}
+	for {
+		select {
+		case r := <-g.addressed:
+			records = append(records, r)
+		default:
+			return records
+		}
+	}
+}
+
+func (g *gossiper) sendAddressed(ctx context.Context, records []*wire.Record) {
+	in := &wire.ExchangeRequest{Node: g.settings.Node, DataCentre: g.settings.DataCentre, Records: records, Sequence: g.holder.Held().Sequence()}
+	for _, member := range fleet.Relays(append(g.members.Peers(), g.members.Self())) {
+		if member.GetNode() == g.settings.Node {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, addressedTimeout)
+		if _, err := g.control.Exchange(limited, member.GetAddress(), in); err != nil {
+			g.Count(`hibiscusrock_evidence_lost_total{reason="unreachable"}`)
+		}
+		cancel()
+	}
+}
+
 // exchange swaps news with one peer, and repairs differences that remain.
 func (g *gossiper) exchange(ctx context.Context, address string) error {
 	in := g.newExchange(g.memberAt(address))
--- a/pkg/node/moves.go
+++ b/pkg/node/moves.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	moveInterval = 250 * time.Millisecond
+	moveInterval     = 250 * time.Millisecond
+	evidenceInterval = 500 * time.Millisecond
 	// watchAfterDone is the time in which a completed version is still judged.
 	watchAfterDone = 2 * time.Minute
 	// lateRemoteFraction of the time to the deadline is left when a data centre
@@ -49,7 +50,10 @@
 	pilot    *rollout.Pilot
 	resumed  bool
 	reported catalog.Report
-	totals   uint64
+	// requests, failures and published tell what was last published, and when.
+	requests  uint64
+	failures  uint64
+	published time.Time
 }
 
 func newMoves(n *Node) *moves {
@@ -159,10 +163,12 @@
 	return m.Now().Sub(time.UnixMilli(view.share.GetSinceUnixMs())) > watchAfterDone
 }
 
+// follow works on one move. The relays of the data centre receive its evidence
+// and judge it; the steward among them decides the share as well.
 func (m *moves) follow(ctx context.Context, view moveView) {
 	t := m.trackOf(view.move)
-	hosts := m.publishEvidence(view.move, t)
-	if !hosts && !m.steward.isActive() {
+	m.publishEvidence(view.move, t)
+	if !m.members.IsRelay() && !m.steward.isActive() {
 		return
 	}
 	evidence := m.evidence(view.move)
@@ -185,26 +191,24 @@
 	return t
 }
 
-// publishEvidence spreads what this host's backend servers did. It reports
-// whether this host has a backend server of the service.
-func (m *moves) publishEvidence(move *wire.Move, t *moveTrack) bool {
-	hosts := false
-	for _, b := range m.owner.Backends() {
-		hosts = hosts || b.Record().GetService() == move.GetService()
-	}
-	if !hosts {
-		return false
-	}
+// publishEvidence tells the relays of the data centre what this host's backend
+// servers did: at once when a request failed, else from time to time.
+func (m *moves) publishEvidence(move *wire.Move, t *moveTrack) {
 	totals := m.recorder.Totals(move.GetService())
-	requests := uint64(1)
+	if len(totals) == 0 && !m.hostsService(move.GetService()) {
+		return
+	}
+	requests, failures := uint64(1), uint64(0)
 	for _, total := range totals {
 		requests += total.GetRequests()
+		failures += total.GetFailures()
 	}
-	if requests == t.totals {
-		return true
+	due := m.Now().Sub(t.published) >= evidenceInterval
+	if requests == t.requests || (failures == t.failures && !due) {
+		return
 	}
-	t.totals = requests
-	m.store.Set(&wire.Record{
+	t.requests, t.failures, t.published = requests, failures, m.Now()
+	r := &wire.Record{
 		Key:   gossip.PrefixEvidence + m.settings.Node + "/" + move.GetService(),
 		Epoch: m.members.Incarnation(),
 		Step:  uint64(m.Now().UnixMilli()),
@@ -215,8 +219,18 @@
 			Totals:     totals,
 			DataCentre: m.settings.DataCentre,
 		}},
-	})
-	return true
+	}
+	m.store.Set(r)
+	m.gossiper.sendToRelays(r)
+}
+
+func (m *moves) hostsService(service string) bool {
+	for _, b := range m.owner.Backends() {
+		if b.Record().GetService() == service {
+			return true
+		}
+	}
+	return false
 }
 
 // evidence returns what the owner nodes of this data centre reported.
@@ -231,7 +245,7 @@
 	return evidence
 }
 
-// judge lets an owner node take a bad version back without the steward.
+// judge lets a relay take a bad version back without the steward.
 func (m *moves) judge(view moveView, t *moveTrack) {
 	finding := t.pilot.Judge(time.UnixMilli(view.share.GetSinceUnixMs()))
 	if finding != nil {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -298,6 +298,7 @@
 	return []<-chan struct{}{
 		loop(ctx, n.starter.run),
 		loop(ctx, n.gossiper.run),
+		loop(ctx, n.gossiper.runAddressed),
 		loop(ctx, n.runProbes),
 		loop(ctx, n.runHousekeeping),
 		loop(ctx, n.runRelay),
--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -83,8 +83,11 @@
 }
 
 func findWorse(s State, in Input) *Finding {
-	if s.Phase == wire.MoveState_MOVE_STATE_DONE && !s.Rejudging && in.OldServers == 0 {
-		return nil
+	if s.Phase == wire.MoveState_MOVE_STATE_DONE && !s.Rejudging {
+		if in.OldServers == 0 {
+			return nil
+		}
+		return Judge(againstPast(in))
 	}
 	if finding := Judge(in.Short); finding != nil {
 		return finding
@@ -92,6 +95,21 @@
 	return Judge(in.Stages...)
 }
 
+// againstPast sets the last seconds of the new version beside what the old one
+// did in all stages, for a version that has all traffic. The two are not of the
+// same time, so that the comparison can raise a suspicion only.
+func againstPast(in Input) Window {
+	window := make(Window, len(in.Short))
+	for route, sides := range in.Short {
+		compared := Sides{New: sides.New}
+		for _, stage := range in.Stages {
+			compared.Old.plus(stage[route].Old)
+		}
+		window[route] = compared
+	}
+	return window
+}
+
 func takeBack(s State, in Input) State {
 	h := in.Halt
 	s = s.change(in.Now, 0, in.stage())
@@ -135,7 +153,8 @@
 	if in.Now.Sub(s.Since) < stageTime(s, in) {
 		return s
 	}
-	if Suspect(in.Short) || Suspect(in.Stages...) {
+	suspect := Suspect(in.Short) || Suspect(in.Stages...)
+	if suspect && !mustGoOn(s, in) {
 		s.Note = "holding: the new version looks worse, though not beyond chance yet"
 		return s
 	}
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -11,7 +11,7 @@
 	// significance is the chance of a false alarm that one look may have.
 	significance = 1e-4
 	// suspicion is the chance at which a share is not raised further.
-	suspicion         = 0.02
+	suspicion         = 0.01
 	fewestFailures    = 2
 	fewestSlow        = 4
 	fewestForLatency  = 10
@@ -145,7 +145,8 @@
 }
 
 func countFailures(s Sides) (tally, bool) {
-	return tally{oldEvents: s.Old.Failures, oldTrials: s.Old.Requests, newEvents: s.New.Failures, newTrials: s.New.Requests}, true
+	t := tally{oldEvents: s.Old.Failures, oldTrials: s.Old.Requests, newEvents: s.New.Failures, newTrials: s.New.Requests}
+	return t, t.oldTrials > 0
 }
 
 // countSlow counts requests that took over twice the time in which the old
