Stage windows start where the share changed, whatever was thinned

Ruled out: the beta-binomial test, whose false alarms stay under 1 in 100 over 1000 moves of 40 looks, and the evidence itself, which is exact here.

--- a/pkg/lab/bench/slopes.go
+++ b/pkg/lab/bench/slopes.go
@@ -55,7 +55,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	dataCentres := Sites()[0].DataCentres
-	d, stop, err := deployment.New(dir, binaries, dataCentres)
+	d, stop, err := deployment.New(dir, binaries, dataCentres, deployment.WithoutProxies())
 	if err != nil {
 		return err
 	}
--- a/pkg/rollout/track.go
+++ b/pkg/rollout/track.go
@@ -22,6 +22,8 @@
 	// happened between the changes before.
 	since time.Time
 	past  []Window
+	// base is the last snapshot before the share changed.
+	base Snapshot
 }
 
 // NewTrack returns an empty track of a move.
@@ -68,6 +70,19 @@
 		t.past = t.past[max(0, len(t.past)-stagesKept):]
 	}
 	t.since = since
+	t.base = t.before(since)
+}
+
+// before returns the last snapshot not after a time, or the first there is.
+func (t *Track) before(at time.Time) Snapshot {
+	var found Snapshot
+	for i, s := range t.snapshots {
+		if i > 0 && s.At.After(at) {
+			break
+		}
+		found = s
+	}
+	return found
 }
 
 // window returns the growth by route over the given time, but not from before
@@ -79,16 +94,9 @@
 	last := t.snapshots[len(t.snapshots)-1]
 	start := last.At.Add(-length)
 	if t.since.After(start) {
-		start = t.since
-	}
-	first := t.snapshots[0]
-	for _, s := range t.snapshots {
-		if s.At.After(start) {
-			break
-		}
-		first = s
+		return last.Since(t.base)
 	}
-	return last.Since(first)
+	return last.Since(t.before(start))
 }
 
 // Short returns the growth over the last seconds at the present share.
