--- a/pkg/distribution/holder_test.go
+++ b/pkg/distribution/holder_test.go
@@ -19,7 +19,7 @@
 
 // chain is a history of releases with a source that serves it.
 type chain struct {
-	t         *testing.T
+	t         testing.TB
 	key       *keys.Key
 	ring      *keys.Ring
 	documents []*bundle.Document
@@ -27,7 +27,7 @@
 	parts     map[string][]byte
 }
 
-func newChain(t *testing.T) *chain {
+func newChain(t testing.TB) *chain {
 	t.Helper()
 	key, err := keys.Generate("operator", nil)
 	if err != nil {
@@ -84,7 +84,7 @@
 	}
 }
 
-func resign(t *testing.T, c *chain, signed *wire.SignedRelease, change func(*wire.Release)) *wire.SignedRelease {
+func resign(t testing.TB, c *chain, signed *wire.SignedRelease, change func(*wire.Release)) *wire.SignedRelease {
 	t.Helper()
 	r := &wire.Release{}
 	if err := proto.Unmarshal(signed.GetBody(), r); err != nil {
--- /dev/null
+++ b/pkg/gossip/store_test.go
@@ -0,0 +1,107 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+func crash(key string, epoch, step uint64) *wire.Record {
+	return &wire.Record{Key: PrefixCrash + key, Epoch: epoch, Step: step, Body: &wire.Record_Crash{Crash: &wire.Crash{Fingerprint: key, Count: uint32(step)}}}
+}
+
+// TestConverges: replicas that see the same records in any order and number
+// end with the same state and digest.
+func TestConverges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var records []*wire.Record
+		for range rapid.IntRange(1, 30).Draw(rt, "records") {
+			key := fmt.Sprint(rapid.IntRange(0, 5).Draw(rt, "key"))
+			records = append(records, crash(key, rapid.Uint64Range(0, 3).Draw(rt, "epoch"), rapid.Uint64Range(0, 3).Draw(rt, "step")))
+		}
+		one, other := New(), New()
+		one.Apply(records, true)
+		other.Apply(rapid.Permutation(records).Draw(rt, "order"), true)
+		other.Apply(records, true)
+		if one.Digest() != other.Digest() {
+			rt.Fatalf("digests differ: %d and %d records", one.Len(), other.Len())
+		}
+		if differing := one.Differing(other.Buckets()); len(differing) != 0 {
+			rt.Fatalf("buckets differ: %v", differing)
+		}
+	})
+}
+
+// TestRepair: comparing buckets finds and mends any difference.
+func TestRepair(t *testing.T) {
+	one, other := New(), New()
+	for i := range 500 {
+		r := crash(fmt.Sprint(i), 1, 1)
+		one.Apply([]*wire.Record{r}, false)
+		if i%7 != 0 {
+			other.Apply([]*wire.Record{r}, false)
+		}
+	}
+	differing := one.Differing(other.Buckets())
+	records, covered := one.InBuckets(differing, 1<<20)
+	other.Apply(records, false)
+	if len(covered) != len(differing) || one.Digest() != other.Digest() {
+		t.Errorf("digests differ after a repair of %d of %d buckets", len(covered), len(differing))
+	}
+}
+
+func TestRumoursEnd(t *testing.T) {
+	s := New(WithAudience(func() int { return 1000 }))
+	s.Set(crash("a", 1, 1))
+	sends := 0
+	for range 100 {
+		sends += len(s.Rumours(1000, false))
+	}
+	if want := 10 + rumourBonus; sends != want {
+		t.Errorf("sent %d times, want %d", sends, want)
+	}
+	if s.HasRumours() {
+		t.Error("the rumour is still waiting")
+	}
+}
+
+func TestRumoursStayInTheDataCentre(t *testing.T) {
+	s := New()
+	s.Set(&wire.Record{Key: PrefixShare + "x", Body: &wire.Record_Share{Share: &wire.Share{}}})
+	if got := len(s.Rumours(1000, true)); got != 0 {
+		t.Errorf("%d shares were sent to another data centre, want 0", got)
+	}
+	if got := len(s.Rumours(1000, false)); got != 1 {
+		t.Errorf("%d shares were sent, want 1", got)
+	}
+}
+
+func TestExpiry(t *testing.T) {
+	now := time.UnixMilli(1000)
+	s := New(WithClock(func() time.Time { return now }))
+	r := crash("a", 1, 1)
+	r.ExpiresUnixMs = 2000
+	s.Set(r)
+	now = time.UnixMilli(3000)
+	if got := len(s.Sweep()); got != 1 || s.Len() != 0 || s.Digest() != 0 {
+		t.Errorf("swept %d, left %d with digest %d, want 1, 0 and 0", got, s.Len(), s.Digest())
+	}
+	if s.Set(r) {
+		t.Error("an expired record was taken in again")
+	}
+}
+
+func BenchmarkDigest(b *testing.B) {
+	s := New()
+	for i := range 50000 {
+		s.Apply([]*wire.Record{crash(fmt.Sprint(i), 1, 1)}, false)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Digest()
+	}
+}
--- /dev/null
+++ b/pkg/request/entry_test.go
@@ -0,0 +1,174 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fleet"
+	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
+	"github.com/hibiscusrock/hibiscusrock/pkg/peer"
+	"github.com/hibiscusrock/hibiscusrock/pkg/quarantine"
+	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
+	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+// reply is what a fake owner node does with one attempt.
+type reply struct {
+	verdict verdict.Verdict
+	reason  verdict.Reason
+	err     error
+	// cut breaks the answer off after its first chunk.
+	cut bool
+}
+
+var answered = reply{verdict: verdict.Ran}
+
+// newTestEntry returns an entry with the given number of remote backend
+// servers, whose nodes reply in turn, and a count of the attempts.
+func newTestEntry(t *testing.T, servers int, replies []reply) (*Entry, *int) {
+	t.Helper()
+	cm := common.New()
+	store := gossip.New()
+	members := fleet.NewMembers(cm, store, &wire.Member{Node: "self", DataCentre: "plateau"})
+	endpoints := fleet.NewEndpoints(store, members)
+	for i := range servers {
+		node := fmt.Sprintf("n%d", i)
+		store.Set(&wire.Record{Key: gossip.PrefixMember + node, Epoch: 1, Body: &wire.Record_Member{Member: &wire.Member{Node: node, DataCentre: "plateau", Address: node}}})
+		store.Set(&wire.Record{Key: fleet.EndpointKey(node, "i"), Epoch: 1, Body: &wire.Record_Endpoint{Endpoint: &wire.Endpoint{Node: node, Instance: "i", Service: "s", Version: "v1", DataCentre: "plateau", Slots: 4}}})
+	}
+	document, err := bundle.Open(&wire.SignedRelease{Body: []byte("\x08\x01\x1a\x20" + strings.Repeat("0", 32))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := routing.NewTable(document, []bundle.Part{{
+		Name:    "s",
+		Service: bundle.Service{SharePercent: map[string]int{"v1": 100}, RetryPercent: 10},
+		Routes:  []bundle.Route{{Name: "r", PathPrefix: "/", Service: "s", TimeoutMS: 1000, MaxBodyBytes: 10}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	attempts := 0
+	hooks := EntryHooks{
+		Table:    func() *routing.Table { return table },
+		Permille: func(*wire.Move) int { return 0 },
+		Halted:   func(string, string) bool { return false },
+		Address:  func(node string) (string, bool) { return node, true },
+		CallPeer: func(_ context.Context, _ string, _ *wire.CallRequest, received func(*wire.CallAnswer) error) error {
+			r := replies[min(attempts, len(replies)-1)]
+			attempts++
+			return r.play(received)
+		},
+	}
+	ward := quarantine.NewWard(cm, store, "self", func() uint64 { return 1 })
+	return NewEntry(cm, "self", nil, ward, routing.NewPicker(cm.Now, endpoints, "plateau"), hooks), &attempts
+}
+
+func (r reply) play(received func(*wire.CallAnswer) error) error {
+	if r.err != nil {
+		return r.err
+	}
+	if r.reason != "" {
+		return received(verdict.Refuse(r.verdict, r.reason).ToWire())
+	}
+	if err := received(&wire.CallAnswer{Verdict: r.verdict.ToWire(), Status: 200, Body: []byte("part"), Last: !r.cut}); err != nil || !r.cut {
+		return err
+	}
+	return errors.New("cut")
+}
+
+func TestRetries(t *testing.T) {
+	notRun := reply{verdict: verdict.NotRun, reason: verdict.QueueFull}
+	lost := reply{verdict: verdict.Unknown, reason: verdict.AnswerLost}
+	crashed := reply{verdict: verdict.Unknown, reason: verdict.BackendCrashed}
+	notSent := reply{err: peer.ErrNotSent}
+	broken := reply{err: errors.New("broken")}
+	tests := map[string]struct {
+		method   string
+		replies  []reply
+		attempts int
+		status   int
+		verdict  verdict.Verdict
+	}{
+		"answered at once":                        {"POST", []reply{answered}, 1, 200, verdict.Ran},
+		"booking not run is retried":              {"POST", []reply{notRun, answered}, 2, 200, verdict.Ran},
+		"booking lost is not retried":             {"POST", []reply{lost, answered}, 1, 502, verdict.Unknown},
+		"booking whose connection broke":          {"POST", []reply{broken, answered}, 1, 502, verdict.Unknown},
+		"booking never sent is retried":           {"POST", []reply{notSent, answered}, 2, 200, verdict.Ran},
+		"read lost is retried":                    {"GET", []reply{lost, answered}, 2, 200, verdict.Ran},
+		"read crashed twice is given up":          {"GET", []reply{crashed, crashed, answered}, 2, 502, verdict.Unknown},
+		"not run after lost is told unknown":      {"GET", []reply{lost, notRun}, 4, 503, verdict.Unknown},
+		"not run everywhere":                      {"POST", []reply{notRun}, 4, 503, verdict.NotRun},
+		"claims unavailable is not tried again":   {"POST", []reply{{verdict: verdict.NotRun, reason: verdict.ClaimsUnavailable}}, 1, 503, verdict.NotRun},
+		"a held claim is not tried again":         {"POST", []reply{{verdict: verdict.Unknown, reason: verdict.ClaimHeld}}, 1, 409, verdict.Unknown},
+		"a crash-causing request is refused once": {"GET", []reply{{verdict: verdict.NotRun, reason: verdict.CrashCausing}}, 1, 422, verdict.NotRun},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e, attempts := newTestEntry(t, 4, test.replies)
+			w := httptest.NewRecorder()
+			e.ServeHTTP(w, httptest.NewRequest(test.method, "/x", strings.NewReader("body")))
+			if *attempts != test.attempts {
+				t.Errorf("%d attempts, want %d", *attempts, test.attempts)
+			}
+			if got := verdict.Verdict(w.Header().Get(verdict.Header)); w.Code != test.status || got != test.verdict {
+				t.Errorf("got status %d and verdict %q, want %d and %q", w.Code, got, test.status, test.verdict)
+			}
+		})
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	e, attempts := newTestEntry(t, 4, []reply{{verdict: verdict.NotRun, reason: verdict.QueueFull}})
+	const requests = 200
+	for range requests {
+		e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/x", nil))
+	}
+	if got, want := *attempts-requests, requests/10+budgetTokens+1; float64(got) > float64(want) {
+		t.Errorf("%d retries for %d requests, want at most %v", got, requests, want)
+	}
+}
+
+func TestEntryRefuses(t *testing.T) {
+	e, _ := newTestEntry(t, 0, []reply{answered})
+	tests := map[string]struct {
+		body   string
+		status int
+		reason verdict.Reason
+	}{
+		"no backend server": {"", 503, verdict.NoBackendServer},
+		"body too large":    {strings.Repeat("x", 11), 413, verdict.BodyTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			e.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/x", strings.NewReader(test.body)))
+			if got := verdict.Reason(w.Header().Get(verdict.ReasonHeader)); w.Code != test.status || got != test.reason {
+				t.Errorf("got status %d and reason %q, want %d and %q", w.Code, got, test.status, test.reason)
+			}
+			if got := w.Header().Get("Content-Type"); got != "application/problem+json" {
+				t.Errorf("got content type %q, want a problem document", got)
+			}
+		})
+	}
+}
+
+// TestCutAnswerIsVisible: when an answer breaks off after its head, the caller's
+// connection breaks as well.
+func TestCutAnswerIsVisible(t *testing.T) {
+	e, _ := newTestEntry(t, 2, []reply{{verdict: verdict.Ran, cut: true}})
+	defer func() {
+		if got := recover(); got != http.ErrAbortHandler {
+			t.Errorf("got panic %v, want %v", got, http.ErrAbortHandler)
+		}
+	}()
+	e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/x", nil))
+}
--- /dev/null
+++ b/pkg/routing/table_test.go
@@ -0,0 +1,114 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+func testTable(t testing.TB, routes ...bundle.Route) *Table {
+	t.Helper()
+	document, err := bundle.Open(&wire.SignedRelease{Body: []byte("\x08\x01\x1a\x20" + "01234567890123456789012345678901")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := NewTable(document, []bundle.Part{{Name: "s", Routes: routes}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func TestMatch(t *testing.T) {
+	table := testTable(
+		t,
+		bundle.Route{Name: "root", PathPrefix: "/", Service: "s"},
+		bundle.Route{Name: "quotes", PathPrefix: "/quotes", Service: "s"},
+		bundle.Route{Name: "quotes-post", PathPrefix: "/quotes", Methods: []string{"POST"}, Service: "s"},
+		bundle.Route{Name: "deep", PathPrefix: "/quotes/old/", Service: "s"},
+		bundle.Route{Name: "host", Host: "Shop.example", PathPrefix: "/quotes", Service: "s"},
+	)
+	tests := map[string]struct{ host, method, path, want string }{
+		"root":                     {"a", "GET", "/", "root"},
+		"unknown path":             {"a", "GET", "/other/x", "root"},
+		"prefix":                   {"a", "GET", "/quotes/1", "quotes"},
+		"whole segments only":      {"a", "GET", "/quotesx", "root"},
+		"method goes first":        {"a", "POST", "/quotes/1", "quotes-post"},
+		"longest prefix":           {"a", "GET", "/quotes/old/7", "deep"},
+		"host, any case, any port": {"SHOP.example:80", "GET", "/quotes", "host"},
+		"host without that path":   {"shop.example", "GET", "/x", "root"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			route := table.Match(test.host, test.method, test.path)
+			if route == nil || route.Name != test.want {
+				t.Errorf("got %v, want %s", route, test.want)
+			}
+		})
+	}
+}
+
+func TestUnknownServiceRefused(t *testing.T) {
+	_, err := NewTable(nil, []bundle.Part{{Name: "s", Routes: []bundle.Route{{Name: "r", PathPrefix: "/", Service: "ghost"}}}})
+	if err == nil {
+		t.Error("a route to an unknown service was taken in")
+	}
+}
+
+func TestCurrentShares(t *testing.T) {
+	service := &bundle.Service{SharePercent: map[string]int{"v1": 75, "v0": 25}}
+	move := &wire.Move{To: "v2"}
+	tests := map[string]struct {
+		permille int
+		halted   string
+		want     Shares
+	}{
+		"before":           {0, "", Shares{"v1": 750, "v0": 250, "v2": 0}},
+		"canary":           {40, "", Shares{"v1": 720, "v0": 240, "v2": 40}},
+		"done":             {1000, "", Shares{"v1": 0, "v0": 0, "v2": 1000}},
+		"new one halted":   {400, "v2", Shares{"v1": 750, "v0": 250}},
+		"old one halted":   {40, "v0", Shares{"v1": 720, "v2": 40}},
+		"halted when done": {1000, "v2", Shares{"v1": 750, "v0": 250}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := CurrentShares(service, move, test.permille, func(v string) bool { return v == test.halted })
+			if fmt.Sprint(got) != fmt.Sprint(test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestVersionByShare(t *testing.T) {
+	const draws = 20000
+	random := rand.New(rand.NewPCG(1, 1))
+	counts := make(map[string]int)
+	for range draws {
+		counts[Shares{"v1": 950, "v2": 50}.Version(random.IntN, nil)]++
+	}
+	if got, want := counts["v2"], draws/20; got < want*8/10 || got > want*12/10 {
+		t.Errorf("the version with 5 %% was chosen %d times of %d, want about %d", got, draws, want)
+	}
+	if got := (Shares{"v1": 950, "v2": 50}).Version(random.IntN, []string{"v1"}); got != "v2" {
+		t.Errorf("got %q with v1 left out, want v2", got)
+	}
+	if got := (Shares{"v1": 0}).Version(random.IntN, nil); got != "" {
+		t.Errorf("got %q without any share, want none", got)
+	}
+}
+
+func BenchmarkMatch(b *testing.B) {
+	var routes []bundle.Route
+	for i := range 5000 {
+		routes = append(routes, bundle.Route{Name: fmt.Sprint(i), PathPrefix: fmt.Sprintf("/s%d", i), Service: "s"})
+	}
+	table := testTable(b, routes...)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Match("any", "GET", "/s4999/a/b")
+	}
+}
