--- a/pkg/bundle/check.go
+++ b/pkg/bundle/check.go
@@ -11,6 +11,8 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
+var anyMethod = []string{"*"}
+
 // Problems is every fault found in a bundle.
 type Problems []string
 
@@ -31,10 +33,14 @@
 // Check returns an error that lists every fault of the bundle, or nil.
 func (b *Bundle) Check() error {
 	problems := b.Problems()
-	if len(problems) == 0 {
+	return problems.err()
+}
+
+func (p *Problems) err() error {
+	if len(*p) == 0 {
 		return nil
 	}
-	return fault.New(fault.KindInvalid, "the bundle has "+fmt.Sprint(len(problems))+" faults:\n  "+strings.Join(problems, "\n  "), "correct each and run 'hibiscusrock bundle check' again")
+	return fault.New(fault.KindInvalid, "the bundle has "+fmt.Sprint(len(*p))+" faults:\n  "+strings.Join(*p, "\n  "), "correct each and run 'hibiscusrock bundle check' again")
 }
 
 // Problems lists every fault of the bundle.
@@ -57,6 +63,39 @@
 	return p
 }
 
+// Check returns an error that lists every fault of the part by itself, or nil.
+func (p *Part) Check() error {
+	var problems Problems
+	problems.checkService("services."+p.Name, p.Name, &p.Service)
+	for i := range p.Routes {
+		field := fmt.Sprintf("services.%s.routes[%d]", p.Name, i)
+		problems.checkRoute(field, &p.Routes[i])
+		if p.Routes[i].Service != p.Name {
+			problems.add("%s.service: the part of %q sends requests to %q", field, p.Name, p.Routes[i].Service)
+		}
+	}
+	return problems.err()
+}
+
+// CheckTogether returns an error that lists the faults between parts that are
+// good by themselves, or nil.
+func CheckTogether(parts []Part) error {
+	var problems Problems
+	names := make(map[string]bool, len(parts))
+	matches := make(map[string]string, len(parts))
+	for i := range parts {
+		for j := range parts[i].Routes {
+			r := &parts[i].Routes[j]
+			if names[r.Name] {
+				problems.add("route %q: the name is used twice", r.Name)
+			}
+			names[r.Name] = true
+			problems.checkOverlap(r.Name, r, matches)
+		}
+	}
+	return problems.err()
+}
+
 func (p *Problems) checkService(field, name string, s *Service) {
 	p.checkName(field, name)
 	p.checkRange(field+".queue_length", s.QueueLength, 1, 10000)
@@ -132,7 +171,7 @@
 func (p *Problems) checkOverlap(field string, r *Route, matches map[string]string) {
 	methods := r.Methods
 	if len(methods) == 0 {
-		methods = []string{"*"}
+		methods = anyMethod
 	}
 	for _, method := range methods {
 		match := r.Host + " " + method + " " + strings.TrimSuffix(r.PathPrefix, "/")
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -24,6 +24,7 @@
 	// checkpointInterval is the number of releases between two whole manifests.
 	checkpointInterval = 32
 	writesPerBatch     = 64
+	readsPerBatch      = 64
 	signAttempts       = 5
 	listLimit          = 1000
 )
@@ -119,15 +120,19 @@
 // Parts returns parts by hash, in the order asked for.
 func (c *Catalog) Parts(ctx context.Context, hashes [][]byte) ([][]byte, error) {
 	parts := make([][]byte, 0, len(hashes))
-	for _, hash := range hashes {
-		kv, found, err := c.client.Get(ctx, platform.PartKey(hash))
+	for batch := range slices.Chunk(hashes, readsPerBatch) {
+		keys := make([]string, len(batch))
+		for i, hash := range batch {
+			keys[i] = platform.PartKey(hash)
+		}
+		values, err := c.client.GetMany(ctx, keys)
 		if err != nil {
 			return nil, err
 		}
-		if !found {
+		if slices.ContainsFunc(values, func(value []byte) bool { return value == nil }) {
 			return nil, fault.New(fault.KindMissing, "a part of the release is not on the platform", "put the bundle again")
 		}
-		parts = append(parts, kv.Value)
+		parts = append(parts, values...)
 	}
 	return parts, nil
 }
@@ -153,13 +158,17 @@
 	if err != nil {
 		return nil, err
 	}
-	var parts []bundle.Part
+	var hashes [][]byte
 	for _, entry := range manifest.Entries() {
-		data, err := c.Parts(ctx, [][]byte{entry.GetHash()})
-		if err != nil {
-			return nil, err
-		}
-		part, err := bundle.DecodePart(data[0])
+		hashes = append(hashes, entry.GetHash())
+	}
+	contents, err := c.Parts(ctx, hashes)
+	if err != nil {
+		return nil, err
+	}
+	var parts []bundle.Part
+	for _, data := range contents {
+		part, err := bundle.DecodePart(data)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/pkg/config/settings_test.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+)
+
+const goodSettings = `{
+  "node": "plateau-1", "data_centre": "plateau",
+  "platform": {"endpoints": ["http://127.0.0.1:2379"]},
+  "deployment_secret": "0123456789abcdef",
+  "signers": {"operator": "IgIUIxVXdY4T4bw3OVYiQQiIA/jA0YV1qfxrJCJ3KPk="}, // one is enough
+}`
+
+func TestLoad(t *testing.T) {
+	tests := map[string]struct{ old, replacement, want string }{
+		"good":             {"", "", ""},
+		"unknown field":    {`"node":`, `"nodes":`, `unknown field "nodes"`},
+		"no address":       {`"node":`, `"peer_address": "here", "node":`, `peer_address: "here" is not an IP address`},
+		"public host port": {`"node":`, `"host_address": "10.0.0.1:7980", "node":`, "is not a loopback address"},
+		"short secret":     {"0123456789abcdef", "short", "shorter than 16"},
+		"too many signers": {`"node":`, `"required_signatures": 2, "node":`, "outside 1 to 1"},
+		"no platform":      {`["http://127.0.0.1:2379"]`, `[]`, "none is given"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, err := loadText(t, strings.Replace(goodSettings, test.old, test.replacement, 1))
+			if test.want == "" && (err != nil || s.AdvertiseAddress != s.PeerAddress || strings.Contains(s.Print(), s.DeploymentSecret)) {
+				t.Errorf("got %v and %s", err, s.Print())
+			}
+			if test.want != "" && (!fault.Is(err, fault.KindInvalid) || !strings.Contains(err.Error(), test.want)) {
+				t.Errorf("got %v, want an error with %q", err, test.want)
+			}
+		})
+	}
+}
+
+func loadText(t *testing.T, text string) (Settings, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.jsonc")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(path)
+}
+
+func TestReferenceIsCurrent(t *testing.T) {
+	data, err := os.ReadFile("../../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(data) != Reference() {
+		t.Error("docs/SETTINGS.md is not what the settings say; run 'make generate'")
+	}
+}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
@@ -15,6 +16,10 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/node"
 )
 
+// collectAtPercent lets the heap grow by half between collections, because a
+// node's memory is scarcer than its processor time.
+const collectAtPercent = 50
+
 // Main runs the node that the arguments describe until it is told to stop, and
 // returns the exit status.
 func Main(args []string) int {
@@ -34,6 +39,7 @@
 }
 
 func run(ctx context.Context, path string) error {
+	debug.SetGCPercent(collectAtPercent)
 	settings, err := config.Load(path)
 	if err != nil {
 		return err
--- a/pkg/distribution/holder.go
+++ b/pkg/distribution/holder.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/hex"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -54,9 +53,11 @@
 	// offering serializes the work on offered releases.
 	offering sync.Mutex
 
-	mu       sync.RWMutex
-	newest   *held
-	history  map[uint64]*wire.SignedRelease
+	mu      sync.RWMutex
+	newest  *held
+	history map[uint64]*wire.SignedRelease
+	// parts and decoded hold the parts of the newest release by hash; what is
+	// decoded has passed its checks.
 	parts    map[string][]byte
 	decoded  map[string]bundle.Part
 	peers    map[string]uint64
@@ -150,7 +151,7 @@
 func (h *Holder) Part(hash []byte) []byte {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	return h.parts[hex.EncodeToString(hash)]
+	return h.parts[string(hash)]
 }
 
 // Offer takes a release in if it is newer than the one held and passes every
@@ -217,7 +218,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := bundle.Join(document.Release().GetBundleName(), document.Release().GetDataCentres(), parts).Check(); err != nil {
+	if err := bundle.CheckTogether(parts); err != nil {
 		return nil, err
 	}
 	table, err := routing.NewTable(document, parts)
@@ -279,7 +280,7 @@
 }
 
 func (h *Holder) decodePart(entry *wire.ManifestEntry) (bundle.Part, error) {
-	id := hex.EncodeToString(entry.GetHash())
+	id := string(entry.GetHash())
 	h.mu.RLock()
 	part, ok := h.decoded[id]
 	data := h.parts[id]
@@ -294,6 +295,9 @@
 	if part.Name != entry.GetName() {
 		return part, fault.New(fault.KindInvalid, "part "+entry.GetName()+" holds the service "+part.Name, "put the bundle again")
 	}
+	if err := part.Check(); err != nil {
+		return part, err
+	}
 	h.mu.Lock()
 	h.decoded[id] = part
 	h.mu.Unlock()
@@ -331,7 +335,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i, data := range parts {
-		h.parts[hex.EncodeToString(hashes[i])] = data
+		h.parts[string(hashes[i])] = data
 	}
 	return nil
 }
@@ -357,9 +361,12 @@
 }
 
 func (h *Holder) dropUnusedParts(manifest bundle.Manifest) {
+	if len(h.parts) == len(manifest) {
+		return
+	}
 	used := make(map[string]bool, len(manifest))
 	for _, hash := range manifest {
-		used[hex.EncodeToString(hash)] = true
+		used[string(hash)] = true
 	}
 	for id := range h.parts {
 		if !used[id] {
--- a/pkg/fleet/endpoints.go
+++ b/pkg/fleet/endpoints.go
@@ -17,9 +17,11 @@
 // Endpoint is a backend server as seen from an entry node, with what this node
 // observed of it.
 type Endpoint struct {
-	record   *wire.Endpoint
-	epoch    uint64
-	observed *observed
+	record *wire.Endpoint
+	epoch  uint64
+	// seen is made when this node first uses the endpoint, since in a large
+	// fleet it uses few.
+	seen atomic.Pointer[observed]
 }
 
 // observed holds an entry node's own measurements of one backend server, which
@@ -35,38 +37,47 @@
 
 const latencyWeight = 8
 
+func (e *Endpoint) observed() *observed {
+	if o := e.seen.Load(); o != nil {
+		return o
+	}
+	e.seen.CompareAndSwap(nil, &observed{})
+	return e.seen.Load()
+}
+
 // Record returns the endpoint as its owner node announced it.
 func (e *Endpoint) Record() *wire.Endpoint { return e.record }
 
 // Begin counts a call that this node sends to the endpoint.
-func (e *Endpoint) Begin() { e.observed.inFlight.Add(1) }
+func (e *Endpoint) Begin() { e.observed().inFlight.Add(1) }
 
 // End counts the end of a call.
-func (e *Endpoint) End() { e.observed.inFlight.Add(-1) }
+func (e *Endpoint) End() { e.observed().inFlight.Add(-1) }
 
 // Avoid notes that the endpoint's node could not be reached, for use until the given time.
-func (e *Endpoint) Avoid(until time.Time) { e.observed.avoidUntil.Store(until.UnixMilli()) }
+func (e *Endpoint) Avoid(until time.Time) { e.observed().avoidUntil.Store(until.UnixMilli()) }
 
 // Avoided reports whether the endpoint's node lately could not be reached.
 func (e *Endpoint) Avoided(now time.Time) bool {
-	return now.UnixMilli() < e.observed.avoidUntil.Load()
+	o := e.seen.Load()
+	return o != nil && now.UnixMilli() < o.avoidUntil.Load()
 }
 
 // Observe keeps the owner's in-flight count and the latency of an answer in microseconds.
 func (e *Endpoint) Observe(inFlight int32, latencyMicros int64) {
-	e.observed.reported.Store(inFlight)
-	old := e.observed.latencyMicros.Load()
+	e.observed().reported.Store(inFlight)
+	old := e.observed().latencyMicros.Load()
 	if old == 0 {
 		old = latencyMicros
 	}
-	e.observed.latencyMicros.Store(old + (latencyMicros-old)/latencyWeight)
+	e.observed().latencyMicros.Store(old + (latencyMicros-old)/latencyWeight)
 }
 
 // Load estimates the work that waits at the endpoint, for comparisons between
 // endpoints of one service: busy slots per slot, weighted by latency.
 func (e *Endpoint) Load() float64 {
-	busy := float64(max(e.observed.inFlight.Load(), e.observed.reported.Load())) + 1
-	latency := float64(e.observed.latencyMicros.Load()) + 1000
+	busy := float64(max(e.observed().inFlight.Load(), e.observed().reported.Load())) + 1
+	latency := float64(e.observed().latencyMicros.Load()) + 1000
 	return busy * latency / float64(max(e.record.GetSlots(), 1))
 }
 
@@ -110,13 +121,13 @@
 	defer sh.mu.Unlock()
 	old := sh.services[record.GetService()]
 	next := make([]*Endpoint, 0, len(old)+1)
-	entry := &Endpoint{record: record, epoch: r.GetEpoch(), observed: &observed{}}
+	entry := &Endpoint{record: record, epoch: r.GetEpoch()}
 	for _, other := range old {
 		if !sameEndpoint(other.record, record) {
 			next = append(next, other)
 			continue
 		}
-		entry.observed = other.observed
+		entry.seen.Store(other.observed())
 	}
 	if !record.GetDown() {
 		next = append(next, entry)
--- a/pkg/gossip/store.go
+++ b/pkg/gossip/store.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unique"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -119,6 +120,7 @@
 	if r.GetKey() == "" || r.GetBody() == nil || s.expired(r) {
 		return false
 	}
+	shareStrings(r)
 	bucket := bucketOf(r.GetKey())
 	sh := &s.shards[bucket%shardCount]
 	sh.mu.Lock()
@@ -138,6 +140,18 @@
 	return true
 }
 
+// shareStrings lets the records of a fleet share the names that repeat in them.
+func shareStrings(r *wire.Record) {
+	if member := r.GetMember(); member != nil {
+		member.DataCentre = unique.Make(member.DataCentre).Value()
+	}
+	if e := r.GetEndpoint(); e != nil {
+		e.DataCentre = unique.Make(e.DataCentre).Value()
+		e.Service = unique.Make(e.Service).Value()
+		e.Version = unique.Make(e.Version).Value()
+	}
+}
+
 // Newer reports whether a replaces b, a record of the same key.
 func Newer(a, b *wire.Record) bool {
 	if a.GetEpoch() != b.GetEpoch() {
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -155,6 +155,29 @@
 	return out.Kvs[0].decode(), true, nil
 }
 
+// GetMany returns the values of keys in one read-only transaction; a key that
+// does not exist has a nil value.
+func (c *Client) GetMany(ctx context.Context, keys []string) ([][]byte, error) {
+	var request txnRequest
+	for _, key := range keys {
+		request.Success = append(request.Success, requestOp{RequestRange: &rangeRequest{Key: []byte(key)}})
+	}
+	var out txnResponse
+	if err := c.call(ctx, "kv/txn", request, &out); err != nil {
+		return nil, err
+	}
+	if len(out.Responses) != len(keys) {
+		return nil, c.unavailable(fault.New(fault.KindUnavailable, "an answer is missing", ""), "kv/txn")
+	}
+	values := make([][]byte, len(keys))
+	for i, response := range out.Responses {
+		if response.ResponseRange != nil && len(response.ResponseRange.Kvs) > 0 {
+			values[i] = response.ResponseRange.Kvs[0].Value
+		}
+	}
+	return values, nil
+}
+
 // List returns at most limit keys that start with prefix, in order.
 func (c *Client) List(ctx context.Context, prefix string, limit int) ([]KeyValue, error) {
 	request := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), Limit: strconv.Itoa(limit)}
--- /dev/null
+++ b/proofs/run.sh
@@ -0,0 +1,30 @@
+#!/bin/sh
+# Shows that each proof fails without its guard: for every line of guards.txt it
+# removes one guard in a scratch copy of the tree and expects the test to fail.
+# An argument limits the run to the lines that contain it.
+set -u
+cd "$(dirname "$0")/.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+bad=0
+while IFS='|' read -r test package file expression; do
+	case "$test" in ''|'#'*) continue ;; esac
+	case "$test$package$file" in *"${1:-}"*) ;; *) continue ;; esac
+	rm -rf "$scratch/tree"
+	mkdir "$scratch/tree"
+	git ls-files -z --cached --others --exclude-standard | xargs -0 cp --parents -t "$scratch/tree"
+	(cd "$scratch/tree" && sed -i "$expression" "$file")
+	if cmp -s "$file" "$scratch/tree/$file"; then
+		echo "NO GUARD FOUND  $test  $file"
+		bad=1
+		continue
+	fi
+	if (cd "$scratch/tree" && go test -count=1 -timeout 5m -run "$test" "$package") > "$scratch/out" 2>&1; then
+		echo "STILL PASSES    $test  $file"
+		bad=1
+	else
+		echo "fails without   $test  $file"
+		grep -E '^ +[a-z_]+_test\.go:[0-9]+:|build failed' "$scratch/out" | grep -v 'in force on\|answered; others\|by version' | head -n 2
+	fi
+done < proofs/guards.txt
+exit $bad
