--- a/pkg/distribution/holder_test.go
+++ b/pkg/distribution/holder_test.go
@@ -263,12 +263,7 @@
 }
 
 func TestEnforceNeedsHolders(t *testing.T) {
-	tests := map[string]struct {
-		alive   int
-		holders []string
-		floor   uint64
-		want    uint64
-	}{
+	tests := map[string]holdersCase{
 		"alone":                          {alive: 0, want: 1},
 		"no holder yet":                  {alive: 3, want: 0},
 		"one holder of two needed":       {alive: 3, holders: []string{"a"}, want: 0},
@@ -278,25 +273,35 @@
 		"below the floor":                {alive: 0, floor: 2, want: 0},
 	}
 	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			c := newChain(t)
-			h := New(common.New(), c.ring, WithAlivePeers(func() int { return test.alive }))
-			h.Start(test.floor)
-			if err := h.Offer(context.Background(), c.add("quote"), c.source()); err != nil {
-				t.Fatal(err)
-			}
-			for _, node := range test.holders {
-				h.Heard(node, 1, !strings.HasPrefix(node, "remote"))
-			}
-			if got := h.Table().Sequence(); got != test.want {
-				t.Errorf("sequence %d is in force, want %d", got, test.want)
-			}
-			for _, node := range test.holders {
-				if got := h.HeldBy(node); got != 1 {
-					t.Errorf("%s is known to hold %d, want 1, so that it is not told again", node, got)
-				}
-			}
-		})
+		t.Run(name, func(t *testing.T) { enforceWith(t, test) })
+	}
+}
+
+// holdersCase is a release that some other nodes hold, and the sequence in force then.
+type holdersCase struct {
+	alive   int
+	holders []string
+	floor   uint64
+	want    uint64
+}
+
+func enforceWith(t *testing.T, test holdersCase) {
+	c := newChain(t)
+	h := New(common.New(), c.ring, WithAlivePeers(func() int { return test.alive }))
+	h.Start(test.floor)
+	if err := h.Offer(context.Background(), c.add("quote"), c.source()); err != nil {
+		t.Fatal(err)
+	}
+	for _, node := range test.holders {
+		h.Heard(node, 1, !strings.HasPrefix(node, "remote"))
+	}
+	if got := h.Table().Sequence(); got != test.want {
+		t.Errorf("sequence %d is in force, want %d", got, test.want)
+	}
+	for _, node := range test.holders {
+		if got := h.HeldBy(node); got != 1 {
+			t.Errorf("%s is known to hold %d, want 1, so that it is not told again", node, got)
+		}
 	}
 }
 
