--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -217,21 +217,28 @@
 	return n
 }
 
+// stagesLeft returns the number of doublings to the full share.
+func stagesLeft(permille int) int {
+	stages := 0
+	for p := permille; p > 0 && p < bundle.FullPermille; p *= 2 {
+		stages++
+	}
+	return stages
+}
+
 // stageTime spreads the stages that are left over the time to the deadline.
 func stageTime(s State, in Input) time.Duration {
 	left := deadline(in).Sub(s.Since)
 	reserve := time.Duration(reserveFraction * float64(deadline(in).Sub(s.Begun)))
-	stages := 0
-	for p := s.Permille; p > 0 && p < bundle.FullPermille; p *= 2 {
-		stages++
-	}
-	return max((left-reserve)/time.Duration(max(stages, 1)), shortestStage)
+	return max((left-reserve)/time.Duration(max(stagesLeft(s.Permille), 1)), shortestStage)
 }
 
-// mustGoOn reports whether waiting longer for evidence would miss the deadline.
+// mustGoOn reports whether waiting longer would miss the deadline, even with
+// the shortest stages from here on.
 func mustGoOn(s State, in Input) bool {
 	reserve := time.Duration(reserveFraction * float64(deadline(in).Sub(s.Begun)))
-	return !in.Now.Before(deadline(in).Add(-reserve / 2))
+	needed := time.Duration(stagesLeft(s.Permille)+1) * shortestStage
+	return !in.Now.Before(deadline(in).Add(-max(reserve/2, needed)))
 }
 
 func deadline(in Input) time.Time { return time.UnixMilli(in.Move.GetDeadlineUnixMs()) }
--- a/pkg/rollout/controller_test.go
+++ b/pkg/rollout/controller_test.go
@@ -167,6 +167,36 @@
 	}
 }
 
+// TestSuspicionEndsInTime: a suspicion holds the share, but not longer than the
+// stages that are left need.
+func TestSuspicionEndsInTime(t *testing.T) {
+	const near = 12 * time.Second
+	suspect := Window{"a": {Old: counts(100, 10, 0), New: counts(20, 7, 0)}}
+	if Judge(suspect) != nil || !Suspect(suspect) {
+		t.Fatal("the window has to be under suspicion, but not judged")
+	}
+	tests := map[string]struct {
+		left time.Duration
+		want int
+	}{
+		"time left":            {8 * time.Second, 200},
+		"stages need the time": {3900 * time.Millisecond, 400},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1)
+			end := w.start.Add(near)
+			w.move.DeadlineUnixMs = end.UnixMilli()
+			now := end.Add(-test.left)
+			state := State{Permille: 200, Begun: w.start, Since: now.Add(-3 * time.Second)}
+			next, _ := Next(state, Input{Now: now, Move: w.move, NewServers: 1, OldServers: 1, Short: suspect, Stages: []Window{suspect}})
+			if next.Permille != test.want {
+				t.Errorf("got %d permille (%s), want %d", next.Permille, next.Note, test.want)
+			}
+		})
+	}
+}
+
 func TestPilotCanaryBound(t *testing.T) {
 	w := newWorld(1)
 	w.run(2 * time.Second)
