Client of the key-value store moves to pkg/store

Cause: the folder name platform/ belongs to the adapter of the users' platform, and the node's gossip replica and the key-value client were both called store. Change: pkg/platform is pkg/store, the replica of a node is its records.

--- a/pkg/booking/claims.go
+++ b/pkg/booking/claims.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
-	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -27,9 +27,9 @@
 // Store is the part of the platform that claims need.
 type Store struct {
 	// Get returns a key's value.
-	Get func(ctx context.Context, key string) (platform.KeyValue, bool, error)
+	Get func(ctx context.Context, key string) (store.KeyValue, bool, error)
 	// Swap writes a key if its revision is the one given.
-	Swap func(ctx context.Context, modRevision int64, writes ...platform.Write) (bool, platform.KeyValue, error)
+	Swap func(ctx context.Context, modRevision int64, writes ...store.Write) (bool, store.KeyValue, error)
 	// DeleteIf removes a key if its revision is the one given.
 	DeleteIf func(ctx context.Context, key string, modRevision int64) (bool, error)
 	// Lease returns the lease to which claims are bound, which bounds their life.
@@ -64,7 +64,7 @@
 	hash := sha256.Sum256([]byte(service + "\x00" + idempotencyKey))
 	claim := &Claim{
 		claims:   c,
-		key:      platform.ClaimKey(hash[:]),
+		key:      store.ClaimKey(hash[:]),
 		document: &wire.Claim{Nonce: nonce, Node: c.node, Fingerprint: fingerprint},
 	}
 	for {
@@ -83,34 +83,34 @@
 }
 
 // write creates the claim. It returns the present value when another claim stands.
-func (c *Claim) write(ctx context.Context) (platform.KeyValue, bool, *verdict.Refusal) {
+func (c *Claim) write(ctx context.Context) (store.KeyValue, bool, *verdict.Refusal) {
 	lease, err := c.claims.store.Lease(ctx)
 	if err != nil {
-		return platform.KeyValue{}, false, c.claims.unavailable()
+		return store.KeyValue{}, false, c.claims.unavailable()
 	}
-	swapped, present, err := c.claims.store.Swap(ctx, 0, platform.Write{Key: c.key, Value: c.encode(), Lease: lease})
+	swapped, present, err := c.claims.store.Swap(ctx, 0, store.Write{Key: c.key, Value: c.encode(), Lease: lease})
 	if err == nil && swapped {
 		c.revision = present.ModRevision
-		return platform.KeyValue{}, false, nil
+		return store.KeyValue{}, false, nil
 	}
 	if err != nil {
 		// The write may have taken effect although its answer was lost.
 		found := false
 		present, found, err = c.claims.store.Get(ctx, c.key)
 		if err != nil || !found {
-			return platform.KeyValue{}, false, c.claims.unavailable()
+			return store.KeyValue{}, false, c.claims.unavailable()
 		}
 	}
 	if c.isOwn(present) {
 		c.revision = present.ModRevision
-		return platform.KeyValue{}, false, nil
+		return store.KeyValue{}, false, nil
 	}
 	return present, true, nil
 }
 
 // isOwn reports whether a stored claim was written for this very request by
 // this node, and its answer is not known.
-func (c *Claim) isOwn(present platform.KeyValue) bool {
+func (c *Claim) isOwn(present store.KeyValue) bool {
 	document := decode(present.Value)
 	return document.GetNonce() == c.document.GetNonce() && document.GetNode() == c.document.GetNode() && !document.GetFinished()
 }
@@ -121,7 +121,7 @@
 }
 
 // judge decides about a request whose key is claimed already.
-func (c *Claims) judge(ctx context.Context, own *Claim, present platform.KeyValue) (*wire.Claim, bool, *verdict.Refusal) {
+func (c *Claims) judge(ctx context.Context, own *Claim, present store.KeyValue) (*wire.Claim, bool, *verdict.Refusal) {
 	document := decode(present.Value)
 	if document.GetFingerprint() != own.document.GetFingerprint() {
 		return nil, false, verdict.Refuse(verdict.NotRun, verdict.ClaimMismatch)
@@ -149,7 +149,7 @@
 }
 
 // await follows a claim in flight until it is finished or released, or ctx ends.
-func (c *Claims) await(ctx context.Context, key string) (platform.KeyValue, bool, error) {
+func (c *Claims) await(ctx context.Context, key string) (store.KeyValue, bool, error) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
@@ -179,7 +179,7 @@
 	defer cancel()
 	lease, err := c.claims.store.Lease(ctx)
 	if err == nil {
-		_, _, err = c.claims.store.Swap(ctx, c.revision, platform.Write{Key: c.key, Value: c.encode(), Lease: lease})
+		_, _, err = c.claims.store.Swap(ctx, c.revision, store.Write{Key: c.key, Value: c.encode(), Lease: lease})
 	}
 	if err != nil {
 		c.claims.Count(`hibiscusrock_claims_unfinished_total`)
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -16,7 +16,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/distribution"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
 	"github.com/hibiscusrock/hibiscusrock/pkg/keys"
-	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
@@ -31,11 +31,11 @@
 
 // Catalog reads and writes the project's documents on the platform.
 type Catalog struct {
-	client *platform.Client
+	client *store.Client
 }
 
 // New returns a catalog.
-func New(client *platform.Client) *Catalog { return &Catalog{client: client} }
+func New(client *store.Client) *Catalog { return &Catalog{client: client} }
 
 // Decode decodes a signed release.
 func Decode(data []byte) (*bundle.Document, error) {
@@ -48,7 +48,7 @@
 
 // Head returns the newest signed-off release, or nil, and the revision of its key.
 func (c *Catalog) Head(ctx context.Context) (*bundle.Document, int64, error) {
-	kv, found, err := c.client.Get(ctx, platform.HeadKey)
+	kv, found, err := c.client.Get(ctx, store.HeadKey)
 	if err != nil || !found {
 		return nil, 0, err
 	}
@@ -58,12 +58,12 @@
 
 // Release returns a release of the history.
 func (c *Catalog) Release(ctx context.Context, sequence uint64) (*bundle.Document, error) {
-	return c.document(ctx, platform.ReleaseKey(sequence), fmt.Sprintf("release %d", sequence))
+	return c.document(ctx, store.ReleaseKey(sequence), fmt.Sprintf("release %d", sequence))
 }
 
 // Draft returns a draft by its identifier.
 func (c *Catalog) Draft(ctx context.Context, id string) (*bundle.Document, error) {
-	return c.document(ctx, platform.DraftKey(id), "draft "+id)
+	return c.document(ctx, store.DraftKey(id), "draft "+id)
 }
 
 func (c *Catalog) document(ctx context.Context, key, name string) (*bundle.Document, error) {
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	kv, found, err := c.client.Get(ctx, platform.ManifestKey(first.Release().GetManifestRoot()))
+	kv, found, err := c.client.Get(ctx, store.ManifestKey(first.Release().GetManifestRoot()))
 	if err != nil {
 		return nil, err
 	}
@@ -123,7 +123,7 @@
 	for batch := range slices.Chunk(hashes, readsPerBatch) {
 		keys := make([]string, len(batch))
 		for i, hash := range batch {
-			keys[i] = platform.PartKey(hash)
+			keys[i] = store.PartKey(hash)
 		}
 		values, err := c.client.GetMany(ctx, keys)
 		if err != nil {
@@ -195,10 +195,10 @@
 }
 
 func (c *Catalog) store(ctx context.Context, draft *bundle.Draft) error {
-	var writes []platform.Write
+	var writes []store.Write
 	for id, data := range draft.Parts() {
 		hash, _ := hex.DecodeString(id)
-		writes = append(writes, platform.Write{Key: platform.PartKey(hash), Value: data})
+		writes = append(writes, store.Write{Key: store.PartKey(hash), Value: data})
 	}
 	for batch := range slices.Chunk(writes, writesPerBatch) {
 		if err := c.putBatch(ctx, batch); err != nil {
@@ -210,7 +210,7 @@
 		if err != nil {
 			return fault.Wrap(err, fault.KindInternal, "cannot encode the manifest", "")
 		}
-		if err := c.client.Put(ctx, platform.ManifestKey(draft.Manifest().Root()), data, 0); err != nil {
+		if err := c.client.Put(ctx, store.ManifestKey(draft.Manifest().Root()), data, 0); err != nil {
 			return err
 		}
 	}
@@ -218,11 +218,11 @@
 	if err != nil {
 		return fault.Wrap(err, fault.KindInternal, "cannot encode the draft", "")
 	}
-	return c.client.Put(ctx, platform.DraftKey(draft.Document().ID()), data, 0)
+	return c.client.Put(ctx, store.DraftKey(draft.Document().ID()), data, 0)
 }
 
 // putBatch writes parts, which never change under one key, in one transaction.
-func (c *Catalog) putBatch(ctx context.Context, batch []platform.Write) error {
+func (c *Catalog) putBatch(ctx context.Context, batch []store.Write) error {
 	done, _, err := c.client.Swap(ctx, 0, batch...)
 	if err != nil || done {
 		return err
@@ -238,7 +238,7 @@
 // Sign adds a signature to a draft, beside those that others add at the same time.
 func (c *Catalog) Sign(ctx context.Context, id string, key *keys.Key) (*bundle.Document, error) {
 	for range signAttempts {
-		kv, found, err := c.client.Get(ctx, platform.DraftKey(id))
+		kv, found, err := c.client.Get(ctx, store.DraftKey(id))
 		if err != nil {
 			return nil, err
 		}
@@ -254,7 +254,7 @@
 		if err != nil {
 			return nil, fault.Wrap(err, fault.KindInternal, "cannot encode the draft", "")
 		}
-		swapped, _, err := c.client.Swap(ctx, kv.ModRevision, platform.Write{Key: platform.DraftKey(id), Value: data})
+		swapped, _, err := c.client.Swap(ctx, kv.ModRevision, store.Write{Key: store.DraftKey(id), Value: data})
 		if err != nil || swapped {
 			return document, err
 		}
@@ -283,8 +283,8 @@
 		return nil, fault.Wrap(err, fault.KindInternal, "cannot encode the release", "")
 	}
 	swapped, present, err := c.client.Swap(ctx, revision,
-		platform.Write{Key: platform.HeadKey, Value: data},
-		platform.Write{Key: platform.ReleaseKey(document.Sequence()), Value: data})
+		store.Write{Key: store.HeadKey, Value: data},
+		store.Write{Key: store.ReleaseKey(document.Sequence()), Value: data})
 	if err != nil {
 		return c.settleStart(ctx, document, err)
 	}
@@ -334,12 +334,12 @@
 
 // Releases returns the history, newest first.
 func (c *Catalog) Releases(ctx context.Context) ([]*bundle.Document, error) {
-	return c.list(ctx, platform.ReleasePrefix)
+	return c.list(ctx, store.ReleasePrefix)
 }
 
 // Drafts returns all drafts, newest first.
 func (c *Catalog) Drafts(ctx context.Context) ([]*bundle.Document, error) {
-	return c.list(ctx, platform.DraftPrefix)
+	return c.list(ctx, store.DraftPrefix)
 }
 
 func (c *Catalog) list(ctx context.Context, prefix string) ([]*bundle.Document, error) {
@@ -387,9 +387,9 @@
 	At         time.Time `json:"at"`
 }
 
-func reportKey(r Report) string { return platform.StatusKey(r.Sequence, r.DataCentre, r.Service) }
+func reportKey(r Report) string { return store.StatusKey(r.Sequence, r.DataCentre, r.Service) }
 
 func statusPrefix(sequence uint64) string {
-	key := platform.StatusKey(sequence, "", "")
+	key := store.StatusKey(sequence, "", "")
 	return strings.TrimSuffix(key, "/")
 }
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -14,7 +14,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
 	"github.com/hibiscusrock/hibiscusrock/pkg/keys"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/standin"
-	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -32,7 +32,7 @@
 	p := standin.NewPlatform()
 	server := httptest.NewServer(p)
 	t.Cleanup(server.Close)
-	client, cleanUp := platform.NewClient(common.New(), []string{server.URL})
+	client, cleanUp := store.NewClient(common.New(), []string{server.URL})
 	t.Cleanup(cleanUp)
 	key, err := keys.Generate("operator", nil)
 	if err != nil {
--- a/pkg/lab/bench/control.go
+++ b/pkg/lab/bench/control.go
@@ -14,7 +14,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/keys"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/deployment"
-	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 )
 
 const clockTicksPerSecond = 100
@@ -107,7 +107,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	client, cleanUp := platform.NewClient(common.New(), []string{d.PlatformAddress()}, platform.WithTimeout(settleLimit))
+	client, cleanUp := store.NewClient(common.New(), []string{d.PlatformAddress()}, store.WithTimeout(settleLimit))
 	return &operatorTool{catalog: catalog.New(client), key: key}, cleanUp, nil
 }
 
--- a/pkg/node/gossiper.go
+++ b/pkg/node/gossiper.go
@@ -41,7 +41,7 @@
 
 func newGossiper(n *Node) *gossiper {
 	g := &gossiper{Node: n, woken: make(chan struct{}, 1), released: make(chan struct{}, 1), addressed: make(chan *wire.Record, addressedWaiting)}
-	n.store.OnLocal(func(*wire.Record) { wake(g.woken) })
+	n.records.OnLocal(func(*wire.Record) { wake(g.woken) })
 	return g
 }
 
@@ -76,7 +76,7 @@
 }
 
 func (g *gossiper) nextInterval() time.Duration {
-	if g.store.HasRumours() {
+	if g.records.HasRumours() {
 		return jittered(rumourInterval)
 	}
 	return jittered(exchangeInterval)
@@ -211,12 +211,12 @@
 		return err
 	}
 	g.Count(`hibiscusrock_gossip_exchanges_total`)
-	g.store.Apply(out.GetRecords(), true)
+	g.records.Apply(out.GetRecords(), true)
 	g.heard(out.GetNode(), out.GetSequence())
 	if out.GetSequence() > g.holder.Held().Sequence() {
 		g.pull(ctx, address)
 	}
-	if out.GetDigest() != g.store.Digest() {
+	if out.GetDigest() != g.records.Digest() {
 		g.repair(ctx, address)
 	}
 	return nil
@@ -230,8 +230,8 @@
 	in := &wire.ExchangeRequest{
 		Node:       g.settings.Node,
 		DataCentre: g.settings.DataCentre,
-		Records:    g.store.Rumours(rumourBytes, remote),
-		Digest:     g.store.Digest(),
+		Records:    g.records.Rumours(rumourBytes, remote),
+		Digest:     g.records.Digest(),
 		Sequence:   held.Sequence(),
 	}
 	lacks := member != nil && g.holder.HeldBy(member.GetNode()) < held.Sequence()
@@ -254,7 +254,7 @@
 // heard notes what a node holds.
 func (n *Node) heard(name string, sequence uint64) {
 	n.starter.heard(name, sequence)
-	if r := n.store.Get(gossip.PrefixMember + name); r != nil {
+	if r := n.records.Get(gossip.PrefixMember + name); r != nil {
 		n.holder.Heard(name, sequence, r.GetMember().GetDataCentre() == n.settings.DataCentre)
 	}
 }
@@ -271,16 +271,16 @@
 		return
 	}
 	g.Count(`hibiscusrock_gossip_repairs_total`)
-	out, err := g.control.Compare(ctx, address, &wire.CompareRequest{Buckets: g.store.Buckets()})
+	out, err := g.control.Compare(ctx, address, &wire.CompareRequest{Buckets: g.records.Buckets()})
 	if err != nil {
 		return
 	}
-	g.store.Apply(out.GetRecords(), false)
-	records, _ := g.store.InBuckets(out.GetDiffering(), compareBytes)
+	g.records.Apply(out.GetRecords(), false)
+	records, _ := g.records.InBuckets(out.GetDiffering(), compareBytes)
 	if len(records) == 0 {
 		return
 	}
-	back := &wire.ExchangeRequest{Node: g.settings.Node, DataCentre: g.settings.DataCentre, Records: records, Digest: g.store.Digest(), Sequence: g.holder.Held().Sequence()}
+	back := &wire.ExchangeRequest{Node: g.settings.Node, DataCentre: g.settings.DataCentre, Records: records, Digest: g.records.Digest(), Sequence: g.holder.Held().Sequence()}
 	_, _ = g.control.Exchange(ctx, address, back)
 }
 
--- a/pkg/node/host.go
+++ b/pkg/node/host.go
@@ -167,7 +167,7 @@
 		Relay:      n.members.IsRelay(),
 		Steward:    n.moves.steward.isActive(),
 		Endpoints:  make(map[string]int),
-		Records:    n.store.Len(),
+		Records:    n.records.Len(),
 	}
 	s.Traffic.Sent, s.Traffic.Received = n.control.Traffic()
 	for _, service := range s.Services {
@@ -209,7 +209,7 @@
 	set.NewGauge(`hibiscusrock_release_held_sequence`, func() float64 { return float64(n.holder.Held().Sequence()) })
 	set.NewGauge(`hibiscusrock_release_enforced_sequence`, func() float64 { return float64(n.holder.Table().Sequence()) })
 	set.NewGauge(`hibiscusrock_members`, func() float64 { return float64(n.members.Len()) })
-	set.NewGauge(`hibiscusrock_records`, func() float64 { return float64(n.store.Len()) })
+	set.NewGauge(`hibiscusrock_records`, func() float64 { return float64(n.records.Len()) })
 	set.NewGauge(`hibiscusrock_control_sent_bytes`, func() float64 {
 		sent, _ := n.control.Traffic()
 		return float64(sent)
--- a/pkg/node/lease.go
+++ b/pkg/node/lease.go
@@ -5,13 +5,13 @@
 	"sync"
 	"time"
 
-	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 )
 
 // claimLease is the lease of this node's claims. It is long and never renewed,
 // so that a paused node loses no claim.
 type claimLease struct {
-	client *platform.Client
+	client *store.Client
 	now    func() time.Time
 
 	mu      sync.Mutex
--- a/pkg/node/moves.go
+++ b/pkg/node/moves.go
@@ -61,7 +61,7 @@
 	m.views.Store(&map[string]moveView{})
 	m.steward = newSteward(n)
 	m.recorded = newMoveRecorder()
-	n.store.OnChange(m.observe)
+	n.records.OnChange(m.observe)
 	return m
 }
 
@@ -93,10 +93,10 @@
 
 func (m *moves) view(move *wire.Move) moveView {
 	view := moveView{move: move}
-	if r := m.store.Get(haltKey(move)); r != nil {
+	if r := m.records.Get(haltKey(move)); r != nil {
 		view.halt = r.GetHalt()
 	}
-	if r := m.store.Get(shareKey(m.settings.DataCentre, move.GetService())); r != nil && r.GetShare().GetSequence() == move.GetSequence() {
+	if r := m.records.Get(shareKey(m.settings.DataCentre, move.GetService())); r != nil && r.GetShare().GetSequence() == move.GetSequence() {
 		view.share = r.GetShare()
 		view.permille = int(r.GetShare().GetPermille())
 	}
@@ -220,7 +220,7 @@
 			DataCentre: m.settings.DataCentre,
 		}},
 	}
-	m.store.Set(r)
+	m.records.Set(r)
 	m.gossiper.sendToRelays(r)
 }
 
@@ -236,7 +236,7 @@
 // evidence returns what the owner nodes of this data centre reported.
 func (m *moves) evidence(move *wire.Move) []*wire.Evidence {
 	var evidence []*wire.Evidence
-	for _, r := range m.store.List(gossip.PrefixEvidence) {
+	for _, r := range m.records.List(gossip.PrefixEvidence) {
 		e := r.GetEvidence()
 		if e.GetService() == move.GetService() && e.GetDataCentre() == m.settings.DataCentre {
 			evidence = append(evidence, e)
@@ -256,7 +256,7 @@
 // putHalt takes a version back everywhere. Halts only ever grow in number, so
 // no two nodes can disagree over one for long.
 func (m *moves) putHalt(move *wire.Move, halt *wire.Halt) {
-	if !m.store.Set(&wire.Record{Key: haltKey(move), Body: &wire.Record_Halt{Halt: halt}}) {
+	if !m.records.Set(&wire.Record{Key: haltKey(move), Body: &wire.Record_Halt{Halt: halt}}) {
 		return
 	}
 	m.Count(`hibiscusrock_versions_taken_back_total`)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -19,7 +19,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/keys"
 	"github.com/hibiscusrock/hibiscusrock/pkg/peer"
-	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/quarantine"
 	"github.com/hibiscusrock/hibiscusrock/pkg/request"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
@@ -41,7 +41,7 @@
 	*common.Common
 	settings config.Settings
 
-	store     *gossip.Store
+	records   *gossip.Store
 	members   *fleet.Members
 	endpoints *fleet.Endpoints
 	holder    *distribution.Holder
@@ -49,7 +49,7 @@
 	recorder  *rollout.Recorder
 	owner     *request.Owner
 	entry     *request.Entry
-	platform  *platform.Client
+	platform  *store.Client
 	control   *peer.Client
 	calls     *peer.Client
 	server    *peer.Server
@@ -89,10 +89,10 @@
 
 func (n *Node) buildFleet() {
 	self := &wire.Member{Node: n.settings.Node, DataCentre: n.settings.DataCentre, Address: n.settings.AdvertiseAddress}
-	n.store = gossip.New(gossip.WithClock(n.Now), gossip.WithAudience(func() int { return n.members.Len() }))
-	n.members = fleet.NewMembers(n.Common, n.store, self)
-	n.endpoints = fleet.NewEndpoints(n.store, n.members)
-	n.ward = quarantine.NewWard(n.Common, n.store, n.settings.Node, n.members.Incarnation)
+	n.records = gossip.New(gossip.WithClock(n.Now), gossip.WithAudience(func() int { return n.members.Len() }))
+	n.members = fleet.NewMembers(n.Common, n.records, self)
+	n.endpoints = fleet.NewEndpoints(n.records, n.members)
+	n.ward = quarantine.NewWard(n.Common, n.records, n.settings.Node, n.members.Incarnation)
 }
 
 func (n *Node) buildClients() {
@@ -100,7 +100,7 @@
 	host, _, _ := net.SplitHostPort(n.settings.PeerAddress)
 	local := net.ParseIP(host)
 	var cleanUp func()
-	n.platform, cleanUp = platform.NewClient(n.Common, n.settings.Platform.Endpoints, platform.WithTimeout(n.settings.PlatformTimeout()))
+	n.platform, cleanUp = store.NewClient(n.Common, n.settings.Platform.Endpoints, store.WithTimeout(n.settings.PlatformTimeout()))
 	n.cleanUps = append(n.cleanUps, cleanUp)
 	n.control, cleanUp = peer.NewClient(n.Common, secret, local)
 	n.cleanUps = append(n.cleanUps, cleanUp)
@@ -174,7 +174,7 @@
 func (n *Node) permille(move *wire.Move) int { return n.moves.permille(move) }
 
 func (n *Node) address(name string) (string, bool) {
-	r := n.store.Get(gossip.PrefixMember + name)
+	r := n.records.Get(gossip.PrefixMember + name)
 	if r == nil {
 		return "", false
 	}
@@ -186,10 +186,10 @@
 	key := fleet.EndpointKey(n.settings.Node, record.GetInstance())
 	epoch := n.members.Incarnation()
 	step := uint64(0)
-	if old := n.store.Get(key); old != nil && old.GetEpoch() == epoch {
+	if old := n.records.Get(key); old != nil && old.GetEpoch() == epoch {
 		step = old.GetStep() + 1
 	}
-	n.store.Set(&wire.Record{Key: key, Epoch: epoch, Step: step, Body: &wire.Record_Endpoint{Endpoint: record}})
+	n.records.Set(&wire.Record{Key: key, Epoch: epoch, Step: step, Body: &wire.Record_Endpoint{Endpoint: record}})
 }
 
 // Run serves until ctx ends, then stops gracefully: no request in flight is cut
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -28,25 +28,25 @@
 // Exchange implements wire.DRPCPeerServer.
 func (p *peerHandler) Exchange(ctx context.Context, in *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
 	n := p.node
-	n.store.Apply(in.GetRecords(), true)
+	n.records.Apply(in.GetRecords(), true)
 	n.heard(in.GetNode(), in.GetSequence())
 	if in.GetSequence() > n.holder.Held().Sequence() {
 		p.takeRelease(ctx, in)
 	}
-	if n.store.HasRumours() {
+	if n.records.HasRumours() {
 		wake(n.gossiper.woken)
 	}
 	return &wire.ExchangeResponse{
 		Node:     n.settings.Node,
-		Records:  n.store.Rumours(rumourBytes, in.GetDataCentre() != n.settings.DataCentre),
-		Digest:   n.store.Digest(),
+		Records:  n.records.Rumours(rumourBytes, in.GetDataCentre() != n.settings.DataCentre),
+		Digest:   n.records.Digest(),
 		Sequence: n.holder.Held().Sequence(),
 	}, nil
 }
 
 // takeRelease takes in the release that a peer pushed, or fetches the one it mentioned.
 func (p *peerHandler) takeRelease(ctx context.Context, in *wire.ExchangeRequest) {
-	r := p.node.store.Get(gossip.PrefixMember + in.GetNode())
+	r := p.node.records.Get(gossip.PrefixMember + in.GetNode())
 	if r == nil {
 		return
 	}
@@ -63,8 +63,8 @@
 	if len(in.GetBuckets()) != gossip.BucketCount {
 		return nil, fault.New(fault.KindInvalid, "wrong number of buckets", "run the same version on all nodes")
 	}
-	differing := p.node.store.Differing(in.GetBuckets())
-	records, covered := p.node.store.InBuckets(differing, compareBytes)
+	differing := p.node.records.Differing(in.GetBuckets())
+	records, covered := p.node.records.InBuckets(differing, compareBytes)
 	return &wire.CompareResponse{Records: records, Differing: covered}, nil
 }
 
--- a/pkg/node/probes.go
+++ b/pkg/node/probes.go
@@ -93,7 +93,7 @@
 }
 
 func (n *Node) sweep() {
-	for _, r := range n.store.Sweep() {
+	for _, r := range n.records.Sweep() {
 		n.members.Forget(r)
 		n.ward.Forget(r)
 		if member := r.GetMember(); member != nil {
--- a/pkg/node/relay.go
+++ b/pkg/node/relay.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
-	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 )
 
 const (
@@ -31,9 +31,9 @@
 func (n *Node) watchHead(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	changes := make(chan platform.KeyValue, 1)
+	changes := make(chan store.KeyValue, 1)
 	ended := loop(ctx, func(ctx context.Context) {
-		_ = n.platform.Watch(ctx, platform.HeadKey, func(kv platform.KeyValue) { replace(changes, kv) })
+		_ = n.platform.Watch(ctx, store.HeadKey, func(kv store.KeyValue) { replace(changes, kv) })
 	})
 	ticker := time.NewTicker(headPollInterval)
 	defer ticker.Stop()
@@ -57,7 +57,7 @@
 }
 
 // replace puts kv into a channel of length one in place of what it holds.
-func replace(ch chan platform.KeyValue, kv platform.KeyValue) {
+func replace(ch chan store.KeyValue, kv store.KeyValue) {
 	select {
 	case <-ch:
 	default:
@@ -66,7 +66,7 @@
 }
 
 func (n *Node) readHead(ctx context.Context) {
-	kv, found, err := n.platform.Get(ctx, platform.HeadKey)
+	kv, found, err := n.platform.Get(ctx, store.HeadKey)
 	if err == nil && found {
 		n.takeHead(ctx, kv)
 	}
--- a/pkg/node/shares.go
+++ b/pkg/node/shares.go
@@ -53,7 +53,7 @@
 	epoch := m.steward.epoch.Load()
 	step := uint64(1)
 	key := shareKey(m.settings.DataCentre, move.GetService())
-	if old := m.store.Get(key); old != nil && old.GetEpoch() == epoch {
+	if old := m.records.Get(key); old != nil && old.GetEpoch() == epoch {
 		step = old.GetStep() + 1
 	}
 	share := &wire.Share{
@@ -67,7 +67,7 @@
 		SinceUnixMs: state.Since.UnixMilli(),
 	}
 	m.Log().WithField("service", move.GetService()).WithField("permille", state.Permille).WithField("note", state.Note).Info("share decided")
-	if !m.store.Set(&wire.Record{Key: key, Epoch: epoch, Step: step, Body: &wire.Record_Share{Share: share}}) {
+	if !m.records.Set(&wire.Record{Key: key, Epoch: epoch, Step: step, Body: &wire.Record_Share{Share: share}}) {
 		m.steward.standDown("a newer steward decides")
 	}
 }
--- a/pkg/node/sources.go
+++ b/pkg/node/sources.go
@@ -7,7 +7,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/catalog"
 	"github.com/hibiscusrock/hibiscusrock/pkg/distribution"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
-	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
@@ -65,7 +65,7 @@
 }
 
 // takeHead offers the platform's newest release to the holder and returns its sequence.
-func (n *Node) takeHead(ctx context.Context, kv platform.KeyValue) uint64 {
+func (n *Node) takeHead(ctx context.Context, kv store.KeyValue) uint64 {
 	document, err := catalog.Decode(kv.Value)
 	if err != nil {
 		n.Count(`hibiscusrock_release_refused_total{reason="undecodable"}`)
--- a/pkg/node/starter.go
+++ b/pkg/node/starter.go
@@ -8,7 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
-	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 )
 
 const (
@@ -72,7 +72,7 @@
 
 // askPlatform reads the newest release and the seeds of the deployment.
 func (s *starter) askPlatform(ctx context.Context) {
-	kv, found, err := s.Node.platform.Get(ctx, platform.HeadKey)
+	kv, found, err := s.Node.platform.Get(ctx, store.HeadKey)
 	if err != nil {
 		return
 	}
@@ -88,7 +88,7 @@
 
 // readSeeds reads the seeds of the deployment from the platform.
 func (s *starter) readSeeds(ctx context.Context) {
-	kvs, err := s.Node.platform.List(ctx, platform.SeedPrefix, seedsRead)
+	kvs, err := s.Node.platform.List(ctx, store.SeedPrefix, seedsRead)
 	if err != nil {
 		return
 	}
@@ -194,7 +194,7 @@
 	if err != nil {
 		return
 	}
-	key := platform.SeedKey(s.settings.DataCentre, s.settings.Node)
+	key := store.SeedKey(s.settings.DataCentre, s.settings.Node)
 	if s.Node.platform.Put(ctx, key, []byte(s.settings.AdvertiseAddress), lease) == nil {
 		s.lease = lease
 	}
--- a/pkg/node/steward.go
+++ b/pkg/node/steward.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 )
 
 const (
@@ -49,7 +49,7 @@
 }
 
 func (s *steward) acquire(ctx context.Context) {
-	_, taken, err := s.platform.Get(ctx, platform.StewardKey(s.settings.DataCentre))
+	_, taken, err := s.platform.Get(ctx, store.StewardKey(s.settings.DataCentre))
 	if err != nil || taken {
 		return
 	}
@@ -57,7 +57,7 @@
 	if err != nil {
 		return
 	}
-	swapped, kv, err := s.platform.Swap(ctx, 0, platform.Write{Key: platform.StewardKey(s.settings.DataCentre), Value: []byte(s.settings.Node), Lease: lease})
+	swapped, kv, err := s.platform.Swap(ctx, 0, store.Write{Key: store.StewardKey(s.settings.DataCentre), Value: []byte(s.settings.Node), Lease: lease})
 	if err != nil || !swapped {
 		return
 	}
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -17,7 +17,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/catalog"
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
-	"github.com/hibiscusrock/hibiscusrock/pkg/platform"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 )
 
 // Exit statuses, for scripts.
@@ -99,7 +99,7 @@
 
 // catalogFor returns the catalog on the platform that the flags name.
 func (o *operator) catalogFor(c *cli.Command) (*catalog.Catalog, func()) {
-	client, cleanUp := platform.NewClient(common.New(), c.StringSlice("platform"), platform.WithTimeout(callTimeout))
+	client, cleanUp := store.NewClient(common.New(), c.StringSlice("platform"), store.WithTimeout(callTimeout))
 	return catalog.New(client), cleanUp
 }
 
--- a/pkg/platform/client.go
+++ b/pkg/store/client.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's key-value service, which
+// Package store is the client of the platform's key-value service, which
 // speaks the JSON gateway of etcd v3 over HTTP.
-package platform
+package store
 
 import (
 	"bytes"
--- a/pkg/platform/keys.go
+++ b/pkg/store/keys.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import "fmt"
 
