--- a/cmd/hibiscusrockd/main.go
+++ b/cmd/hibiscusrockd/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/daemon"
+	"github.com/hibiscusrock/hibiscusrock/platform"
 )
 
-func main() { os.Exit(daemon.Main(os.Args)) }
+func main() { os.Exit(daemon.Main(os.Args, platform.Connect)) }
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -1,9 +1,9 @@
 // Package admission limits the work that one backend server is given: an
-// adaptive limit under its announced slots and a short queue in order of deadline.
+// adaptive limit under its announced slots, and a short queue by urgency that
+// refuses at once what cannot be answered in time.
 package admission
 
 import (
-	"container/heap"
 	"context"
 	"sync"
 	"time"
@@ -15,8 +15,10 @@
 	lowestLimit    = 1.0
 	overloadFactor = 0.8
 	// A limit falls at most once in this time, so that one burst counts once.
-	fallPause     = 100 * time.Millisecond
-	serviceWeight = 8
+	fallPause = 100 * time.Millisecond
+	// idleSlotFactor is the part of the expected work that must fit before the
+	// deadline when a slot is free: work varies, and the slot costs nothing.
+	idleSlotFactor = 2
 )
 
 // Outcome is how an admitted request ended.
@@ -29,6 +31,21 @@
 	Overloaded
 )
 
+// Forecast is what one more request would meet at a gate.
+type Forecast struct {
+	// Wait is the expected time until a slot is free for it.
+	Wait time.Duration
+	// Work is the expected time that it then takes.
+	Work time.Duration
+}
+
+// running is one admitted request.
+type running struct {
+	kind     string
+	started  time.Time
+	expected time.Duration
+}
+
 // Gate admits requests to one backend server.
 type Gate struct {
 	now func() time.Time
@@ -36,17 +53,24 @@
 	mu          sync.Mutex
 	slots       float64
 	limit       float64
-	inFlight    int
+	running     map[*running]bool
 	queueLength int
-	queue       waiters
-	service     time.Duration
+	queue       queue
+	estimates   estimates
 	lastFall    time.Time
 	closed      *verdict.Refusal
 }
 
 // NewGate returns a gate for a backend server with the given number of slots.
 func NewGate(now func() time.Time, slots, queueLength int) *Gate {
-	return &Gate{now: now, slots: float64(slots), limit: float64(slots), queueLength: queueLength}
+	return &Gate{
+		now:         now,
+		slots:       float64(slots),
+		limit:       float64(slots),
+		running:     make(map[*running]bool),
+		queueLength: queueLength,
+		estimates:   newEstimates(),
+	}
 }
 
 // Resize changes the announced slots and the length of the queue.
@@ -82,14 +106,14 @@
 func (g *Gate) InFlight() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.inFlight + len(g.queue)
+	return len(g.running) + len(g.queue)
 }
 
 // Running returns the requests that run.
 func (g *Gate) Running() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.inFlight
+	return len(g.running)
 }
 
 // Limit returns the adaptive limit.
@@ -99,10 +123,18 @@
 	return g.limit
 }
 
+// Forecast returns what one more request like work would meet.
+func (g *Gate) Forecast(work Work) Forecast {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.newWaiter(work)
+	return Forecast{Wait: g.waitOf(w, g.now()), Work: w.expected}
+}
+
 // Acquire waits for a slot until the context ends or the deadline cannot be met.
 // The caller must call the returned function once, with the outcome.
-func (g *Gate) Acquire(ctx context.Context, deadline time.Time) (func(Outcome), *verdict.Refusal) {
-	w, refusal := g.enter(deadline)
+func (g *Gate) Acquire(ctx context.Context, work Work) (func(Outcome), *verdict.Refusal) {
+	r, w, refusal := g.enter(work)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -110,54 +142,104 @@
 		if refusal := g.wait(ctx, w); refusal != nil {
 			return nil, refusal
 		}
+		r = w.slot
 	}
-	started := g.now()
 	var once sync.Once
-	return func(outcome Outcome) { once.Do(func() { g.leave(outcome, g.now().Sub(started)) }) }, nil
+	return func(outcome Outcome) { once.Do(func() { g.leave(r, outcome) }) }, nil
+}
+
+func (g *Gate) newWaiter(work Work) *waiter {
+	return &waiter{work: work, expected: g.estimates.expect(work.Kind), settled: make(chan *verdict.Refusal, 1)}
 }
 
 // enter takes a slot at once, or returns a waiter that was queued.
-func (g *Gate) enter(deadline time.Time) (*waiter, *verdict.Refusal) {
+func (g *Gate) enter(work Work) (*running, *waiter, *verdict.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.closed != nil {
-		return nil, g.closed
+		return nil, nil, g.closed
 	}
-	g.dropHopeless()
+	now := g.now()
+	g.dropHopeless(now)
+	w := g.newWaiter(work)
 	if len(g.queue) == 0 && g.hasSlot() {
-		g.inFlight++
-		return nil, nil
+		if now.Add(w.expected / idleSlotFactor).After(work.Deadline) {
+			return nil, nil, verdict.Refuse(verdict.NotRun, verdict.DeadlineTooNear)
+		}
+		return g.admit(w), nil, nil
+	}
+	if refusal := g.refuse(w, now); refusal != nil {
+		return nil, nil, refusal
 	}
-	if len(g.queue) >= g.queueLength {
-		return nil, verdict.Refuse(verdict.NotRun, verdict.QueueFull)
+	w.queued = true
+	g.queue = append(g.queue, w)
+	g.dropHopeless(now)
+	if !w.queued {
+		return nil, nil, <-w.settled
 	}
-	if g.isHopeless(deadline, len(g.queue)+1) {
-		return nil, verdict.Refuse(verdict.NotRun, verdict.DeadlineTooNear)
+	return nil, w, nil
+}
+
+// refuse decides whether a request may join the queue.
+func (g *Gate) refuse(w *waiter, now time.Time) *verdict.Refusal {
+	wait := g.waitOf(w, now)
+	late := now.Add(wait + w.expected).Sub(w.work.Deadline)
+	switch {
+	case w.work.MaxWait > 0 && wait > w.work.MaxWait:
+		return verdict.Refuse(verdict.NotRun, verdict.Busy).RetryAfter(max(late, wait-w.work.MaxWait))
+	case late > 0:
+		return verdict.Refuse(verdict.NotRun, verdict.DeadlineTooNear).RetryAfter(late)
+	case len(g.queue) >= g.queueLength:
+		return verdict.Refuse(verdict.NotRun, verdict.QueueFull).RetryAfter(wait)
 	}
-	w := &waiter{deadline: deadline, settled: make(chan *verdict.Refusal, 1)}
-	heap.Push(&g.queue, w)
-	return w, nil
+	return nil
+}
+
+// admit gives a request a slot.
+func (g *Gate) admit(w *waiter) *running {
+	r := &running{kind: w.work.Kind, started: g.now(), expected: w.expected}
+	g.running[r] = true
+	return r
 }
 
-func (g *Gate) hasSlot() bool { return float64(g.inFlight)+1 <= max(g.limit, lowestLimit) }
+func (g *Gate) hasSlot() bool { return float64(len(g.running))+1 <= max(g.limit, lowestLimit) }
 
-// isHopeless reports whether a request at the given place of the queue would
-// start too late to finish in time.
-func (g *Gate) isHopeless(deadline time.Time, place int) bool {
-	rounds := float64(place) / max(g.limit, lowestLimit)
-	expected := time.Duration((rounds + 1) * float64(g.service))
-	return deadline.Sub(g.now()) < expected
+// waitOf returns the expected time until a slot is free for w: the work that is
+// served before it and the mean of what runs, spread over all slots.
+func (g *Gate) waitOf(w *waiter, now time.Time) time.Duration {
+	if g.hasSlot() && len(g.queue) == 0 {
+		return 0
+	}
+	total := g.queue.ahead(w, now) + g.meanRunning(now)
+	return time.Duration(float64(total) / max(g.limit, lowestLimit))
 }
 
-func (g *Gate) dropHopeless() {
-	for len(g.queue) > 0 && g.isHopeless(g.queue[0].deadline, 0) {
-		w := heap.Pop(&g.queue).(*waiter)
-		w.settle(verdict.Refuse(verdict.NotRun, verdict.DeadlineTooNear))
+// meanRunning returns the mean work of the running requests; those that take
+// longer than expected count with the time that they have taken.
+func (g *Gate) meanRunning(now time.Time) time.Duration {
+	if len(g.running) == 0 {
+		return 0
+	}
+	total := time.Duration(0)
+	for r := range g.running {
+		total += max(r.expected, now.Sub(r.started))
+	}
+	return total / time.Duration(len(g.running))
+}
+
+// dropHopeless refuses every queued request that would start too late.
+func (g *Gate) dropHopeless(now time.Time) {
+	for _, w := range append(queue(nil), g.queue...) {
+		start := now.Add(g.waitOf(w, now))
+		if w.isHopeless(start) {
+			g.queue.remove(w)
+			w.settle(verdict.Refuse(verdict.NotRun, verdict.DeadlineTooNear).RetryAfter(start.Add(w.expected).Sub(w.work.Deadline)))
+		}
 	}
 }
 
 func (g *Gate) wait(ctx context.Context, w *waiter) *verdict.Refusal {
-	timer := time.NewTimer(w.deadline.Sub(g.now()))
+	timer := time.NewTimer(w.work.Deadline.Sub(g.now()))
 	defer timer.Stop()
 	select {
 	case refusal := <-w.settled:
@@ -174,26 +256,27 @@
 func (g *Gate) abandon(w *waiter, reason verdict.Reason) *verdict.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if w.index >= 0 {
-		heap.Remove(&g.queue, w.index)
+	if w.queued {
+		g.queue.remove(w)
+		w.queued = false
 		return verdict.Refuse(verdict.NotRun, reason)
 	}
 	if refusal := <-w.settled; refusal != nil {
 		return refusal
 	}
-	g.inFlight--
+	delete(g.running, w.slot)
 	g.serveQueue()
 	return verdict.Refuse(verdict.NotRun, reason)
 }
 
-func (g *Gate) leave(outcome Outcome, took time.Duration) {
+func (g *Gate) leave(r *running, outcome Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	full := float64(g.inFlight)+1 > g.limit
-	g.inFlight--
+	full := float64(len(g.running))+1 > g.limit
+	delete(g.running, r)
 	switch outcome {
 	case Succeeded:
-		g.service += (took - g.service) / serviceWeight
+		g.estimates.add(r.kind, g.now().Sub(r.started))
 		if full {
 			g.limit = min(g.limit+1/max(g.limit, lowestLimit), g.slots)
 		}
@@ -207,48 +290,12 @@
 }
 
 func (g *Gate) serveQueue() {
-	g.dropHopeless()
+	now := g.now()
+	g.dropHopeless(now)
 	for len(g.queue) > 0 && g.hasSlot() {
-		w := heap.Pop(&g.queue).(*waiter)
-		g.inFlight++
+		w := g.queue.first(now)
+		g.queue.remove(w)
+		w.slot = g.admit(w)
 		w.settle(nil)
 	}
 }
-
-// waiter is one queued request. Its channel receives nil with a slot, or a refusal.
-type waiter struct {
-	deadline time.Time
-	settled  chan *verdict.Refusal
-	index    int
-}
-
-func (w *waiter) settle(refusal *verdict.Refusal) {
-	w.index = -1
-	w.settled <- refusal
-}
-
-// waiters is a heap by deadline.
-type waiters []*waiter
-
-func (q waiters) Len() int           { return len(q) }
-func (q waiters) Less(i, j int) bool { return q[i].deadline.Before(q[j].deadline) }
-func (q waiters) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (q *waiters) Push(x any) {
-	w := x.(*waiter)
-	w.index = len(*q)
-	*q = append(*q, w)
-}
-
-// Pop implements heap.Interface.
-func (q *waiters) Pop() any {
-	last := len(*q) - 1
-	w := (*q)[last]
-	*q = (*q)[:last]
-	w.index = -1
-	return w
-}
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -11,7 +11,7 @@
 
 func acquire(t *testing.T, g *Gate, deadline time.Duration) func(Outcome) {
 	t.Helper()
-	leave, refusal := g.Acquire(context.Background(), time.Now().Add(deadline))
+	leave, refusal := g.Acquire(context.Background(), Work{Deadline: time.Now().Add(deadline)})
 	if refusal != nil {
 		t.Fatalf("refused: %v", refusal)
 	}
@@ -26,7 +26,7 @@
 	}{
 		"queue full": {deadline: time.Second, want: verdict.QueueFull, prepare: func(t *testing.T, g *Gate) {
 			acquire(t, g, time.Second)
-			go func() { _, _ = g.Acquire(context.Background(), time.Now().Add(time.Second)) }()
+			go func() { _, _ = g.Acquire(context.Background(), Work{Deadline: time.Now().Add(time.Second)}) }()
 			for g.InFlight() < 2 {
 				time.Sleep(time.Millisecond)
 			}
@@ -40,7 +40,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewGate(time.Now, 1, 1)
 			test.prepare(t, g)
-			_, refusal := g.Acquire(context.Background(), time.Now().Add(test.deadline))
+			_, refusal := g.Acquire(context.Background(), Work{Deadline: time.Now().Add(test.deadline)})
 			if refusal == nil || refusal.Reason() != test.want || refusal.Verdict() != verdict.NotRun {
 				t.Errorf("got %v, want not_run for %s", refusal, test.want)
 			}
@@ -57,7 +57,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			leave, refusal := g.Acquire(context.Background(), time.Now().Add(deadline))
+			leave, refusal := g.Acquire(context.Background(), Work{Deadline: time.Now().Add(deadline)})
 			if refusal != nil {
 				t.Errorf("refused: %v", refusal)
 				return
@@ -82,7 +82,7 @@
 	now := time.Now()
 	g := NewGate(func() time.Time { return now }, 10, 0)
 	for range 5 {
-		leave, _ := g.Acquire(context.Background(), now.Add(time.Hour))
+		leave, _ := g.Acquire(context.Background(), Work{Deadline: now.Add(time.Hour)})
 		leave(Overloaded)
 		now = now.Add(fallPause)
 	}
@@ -93,7 +93,7 @@
 	for range 200 {
 		var leaves []func(Outcome)
 		for {
-			leave, refusal := g.Acquire(context.Background(), now.Add(time.Hour))
+			leave, refusal := g.Acquire(context.Background(), Work{Deadline: now.Add(time.Hour)})
 			if refusal != nil {
 				break
 			}
@@ -121,7 +121,7 @@
 			defer wg.Done()
 			for range 50 {
 				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Millisecond)
-				leave, refusal := g.Acquire(ctx, time.Now().Add(5*time.Millisecond))
+				leave, refusal := g.Acquire(ctx, Work{Deadline: time.Now().Add(5 * time.Millisecond)})
 				cancel()
 				if refusal != nil {
 					continue
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -21,6 +21,8 @@
 	LargestBodyBytes      = 3 << 20
 	DefaultQueueLength    = 16
 	DefaultRetryPercent   = 10
+	DefaultMaxAttempts    = 5
+	MaxPriority           = 15
 	MinimumMoveSeconds    = 5
 	LargestPartBytes      = 512 << 10
 	LargestRoutesPerGroup = 256
@@ -79,6 +81,23 @@
 	// ShedStatuses lists the statuses by which the backend server says that it
 	// shed the request before running it.
 	ShedStatuses []int `json:"shed_statuses,omitempty"`
+	// Split shares the route's requests out over several services by weight;
+	// Service is one of them.
+	Split []Target `json:"split,omitempty"`
+	// Priority ranks the route's requests at a backend server; 0 goes first.
+	Priority int `json:"priority,omitempty"`
+	// MaxAttempts bounds the backend servers that one request is sent to.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// ObjectiveMS is the time within which an answer has its full value; the
+	// timeout if it is 0.
+	ObjectiveMS int `json:"objective_ms,omitempty"`
+}
+
+// Target is one service of a split route.
+type Target struct {
+	Service string `json:"service"`
+	// Weight is the service's part of the sum of all weights.
+	Weight int `json:"weight"`
 }
 
 // Parse reads a bundle in JSON with comments and fills in its defaults.
@@ -112,6 +131,9 @@
 		if r.MaxBodyBytes == 0 {
 			r.MaxBodyBytes = DefaultMaxBodyBytes
 		}
+		if r.MaxAttempts == 0 {
+			r.MaxAttempts = DefaultMaxAttempts
+		}
 	}
 }
 
@@ -126,6 +148,26 @@
 // Timeout returns the time that a call on the route may take.
 func (r *Route) Timeout() time.Duration { return time.Duration(r.TimeoutMS) * time.Millisecond }
 
+// Services returns the services that the route's requests may go to.
+func (r *Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	services := make([]string, len(r.Split))
+	for i, target := range r.Split {
+		services[i] = target.Service
+	}
+	return services
+}
+
+// Objective returns the time within which an answer has its full value.
+func (r *Route) Objective() time.Duration {
+	if r.ObjectiveMS == 0 {
+		return r.Timeout()
+	}
+	return time.Duration(r.ObjectiveMS) * time.Millisecond
+}
+
 // From returns the version that a move leaves: the one with the largest share.
 func (s *Service) From() string {
 	from := ""
--- a/pkg/bundle/check.go
+++ b/pkg/bundle/check.go
@@ -158,6 +158,10 @@
 	}
 	p.checkRange(field+".timeout_ms", r.TimeoutMS, 10, 600000)
 	p.checkRange(field+".max_body_bytes", r.MaxBodyBytes, 0, LargestBodyBytes)
+	p.checkRange(field+".priority", r.Priority, 0, MaxPriority)
+	p.checkRange(field+".max_attempts", r.MaxAttempts, 0, 100)
+	p.checkRange(field+".objective_ms", r.ObjectiveMS, 0, 600000)
+	p.checkSplit(field+".split", r)
 	for _, status := range r.ShedStatuses {
 		p.checkRange(field+".shed_statuses", status, 400, 599)
 	}
@@ -168,6 +172,24 @@
 	}
 }
 
+func (p *Problems) checkSplit(field string, r *Route) {
+	if len(r.Split) == 0 {
+		return
+	}
+	total, own := 0, false
+	for i, target := range r.Split {
+		p.checkRange(fmt.Sprintf("%s[%d].weight", field, i), target.Weight, 0, 1000000)
+		total += target.Weight
+		own = own || target.Service == r.Service
+	}
+	if total == 0 {
+		p.add("%s: no service has a weight", field)
+	}
+	if !own {
+		p.add("%s: service %q is not among them", field, r.Service)
+	}
+}
+
 func (p *Problems) checkOverlap(field string, r *Route, matches map[string]string) {
 	methods := r.Methods
 	if len(methods) == 0 {
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -29,9 +29,35 @@
 	RequiredSignatures int               `json:"required_signatures" doc:"Number of different signers that a release needs."`
 	Seeds              []string          `json:"seeds" doc:"Peer addresses to join through, besides those on the platform."`
 	StopTimeoutSeconds int               `json:"stop_timeout_seconds" doc:"Longest time that a graceful stop waits for requests in flight."`
+	StopNoticeMS       int               `json:"stop_notice_ms" doc:"Time in milliseconds for which a stopping node still takes callers' requests, so that they can move to other nodes."`
 	LogLevel           string            `json:"log_level" doc:"One of debug, info, warning and error."`
+	Source             string            `json:"source" doc:"Where configurations come from: signed 'releases', or 'store' for a users' store whose acknowledgement is the sign-off."`
+	CallerService      string            `json:"caller_service" doc:"Service of the backend server on this host, told to the backend servers that its requests reach; needed with source store."`
+	ReadyAddress       string            `json:"ready_address" doc:"IP address and port for readiness checks from other hosts; only host_address answers them if empty."`
+	MetricsAddress     string            `json:"metrics_address" doc:"IP address and port for metrics; only host_address serves them if empty."`
+	MemoryLimitMB      int               `json:"memory_limit_mb" doc:"Memory in megabytes from which the garbage collector works harder."`
+	Retries            Retries           `json:"retries" doc:"Bounds of retries over the whole deployment, with source store."`
+	Exposure           Exposure          `json:"exposure" doc:"Bounds of the traffic of an unproven version, with source store."`
 }
 
+// Retries bounds the requests that reach a second backend server.
+type Retries struct {
+	Percent int `json:"percent" doc:"Retries in percent of a service's requests."`
+	Burst   int `json:"burst" doc:"Retries of a service at once beyond that, over all nodes."`
+}
+
+// Exposure bounds the requests that reach a version before it is judged.
+type Exposure struct {
+	Percent int `json:"percent" doc:"Share of a service's requests in percent that a bad version may receive during a move."`
+	Slack   int `json:"slack" doc:"Number of requests that a bad version may receive beyond that share."`
+}
+
+// Sources of configurations.
+const (
+	SourceReleases = "releases"
+	SourceStore    = "store"
+)
+
 // Platform says where the platform's key-value service is.
 type Platform struct {
 	Endpoints []string `json:"endpoints" doc:"Base addresses of the JSON gateway, such as http://10.0.0.1:2379."`
@@ -47,7 +73,12 @@
 		Platform:           Platform{TimeoutMS: 2000},
 		RequiredSignatures: 1,
 		StopTimeoutSeconds: 30,
+		StopNoticeMS:       500,
 		LogLevel:           "info",
+		Source:             SourceReleases,
+		MemoryLimitMB:      26,
+		Retries:            Retries{Percent: 10, Burst: 32},
+		Exposure:           Exposure{Percent: 10, Slack: 50},
 	}
 }
 
@@ -101,13 +132,32 @@
 	p.checkAddress("peer_address", s.PeerAddress)
 	p.checkAddress("advertise_address", s.AdvertiseAddress)
 	p.checkAddress("host_address", s.HostAddress)
-	if host, err := netip.ParseAddrPort(s.HostAddress); err == nil && !host.Addr().IsLoopback() {
-		p.add("host_address: %q is not a loopback address", s.HostAddress)
-	}
 	if len(s.Platform.Endpoints) == 0 {
 		p.add("platform.endpoints: none is given")
 	}
 	p.checkRange("platform.timeout_ms", s.Platform.TimeoutMS, 10, 60000)
+	p.checkRange("stop_timeout_seconds", s.StopTimeoutSeconds, 1, 3600)
+	p.checkRange("stop_notice_ms", s.StopNoticeMS, 0, 1000*s.StopTimeoutSeconds)
+	p.checkRange("memory_limit_mb", s.MemoryLimitMB, 8, 1<<20)
+	switch s.Source {
+	case SourceReleases:
+		p.checkReleases(s)
+	case SourceStore:
+		p.checkStore(s)
+	default:
+		p.add("source: %q is neither %q nor %q", s.Source, SourceReleases, SourceStore)
+	}
+	if len(p) == 0 {
+		return nil
+	}
+	return fault.New(fault.KindInvalid, "the settings have faults:\n  "+strings.Join(p, "\n  "), "correct each; docs/SETTINGS.md describes the fields")
+}
+
+// checkReleases checks what only a node that follows signed releases needs.
+func (p *problems) checkReleases(s Settings) {
+	if host, err := netip.ParseAddrPort(s.HostAddress); err == nil && !host.Addr().IsLoopback() {
+		p.add("host_address: %q is not a loopback address", s.HostAddress)
+	}
 	if len(s.DeploymentSecret) < shortestSecret {
 		p.add("deployment_secret: shorter than %d characters", shortestSecret)
 	}
@@ -115,11 +165,25 @@
 	if len(s.Signers) == 0 {
 		p.add("signers: none is given")
 	}
-	p.checkRange("stop_timeout_seconds", s.StopTimeoutSeconds, 1, 3600)
-	if len(p) == 0 {
-		return nil
+}
+
+// checkStore checks what only a node on the users' platform needs.
+func (p *problems) checkStore(s Settings) {
+	p.checkName("caller_service", s.CallerService)
+	for field, address := range map[string]string{"ready_address": s.ReadyAddress, "metrics_address": s.MetricsAddress} {
+		if address != "" {
+			p.checkAddress(field, address)
+		}
 	}
-	return fault.New(fault.KindInvalid, "the settings have faults:\n  "+strings.Join(p, "\n  "), "correct each; docs/SETTINGS.md describes the fields")
+	p.checkRange("retries.percent", s.Retries.Percent, 0, 100)
+	p.checkRange("retries.burst", s.Retries.Burst, 0, 1<<20)
+	p.checkRange("exposure.percent", s.Exposure.Percent, 1, 100)
+	p.checkRange("exposure.slack", s.Exposure.Slack, 0, 1<<20)
+}
+
+// StopNotice returns the time for which a stopping node still takes requests.
+func (s Settings) StopNotice() time.Duration {
+	return time.Duration(s.StopNoticeMS) * time.Millisecond
 }
 
 // StopTimeout returns the longest time that a graceful stop waits.
--- a/pkg/config/settings_test.go
+++ b/pkg/config/settings_test.go
@@ -24,6 +24,8 @@
 		"public host port": {`"node":`, `"host_address": "10.0.0.1:7980", "node":`, "is not a loopback address"},
 		"short secret":     {"0123456789abcdef", "short", "shorter than 16"},
 		"too many signers": {`"node":`, `"required_signatures": 2, "node":`, "outside 1 to 1"},
+		"unknown source":   {`"node":`, `"source": "rumour", "node":`, `source: "rumour" is neither`},
+		"no service":       {`"node":`, `"source": "store", "node":`, `caller_service: ""`},
 		"no platform":      {`["http://127.0.0.1:2379"]`, `[]`, "none is given"},
 	}
 	for name, test := range tests {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -16,20 +16,20 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/node"
 )
 
-// memoryLimit makes the garbage collector work harder before a node with much
-// state passes the 32 MB that it may use, program text included.
-const memoryLimit = 26 << 20
+// Connect connects a node to the users' platform, for settings that name it as
+// the source of configurations. It returns a clean-up function.
+type Connect func(*common.Common, config.Settings) (*node.Connection, func())
 
 // Main runs the node that the arguments describe until it is told to stop, and
 // returns the exit status.
-func Main(args []string) int {
+func Main(args []string, connect Connect) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	command := &cli.Command{
 		Name:   "hibiscusrockd",
 		Usage:  "the node of hibiscusrock on a backend server host",
 		Flags:  []cli.Flag{&cli.StringFlag{Name: "config", Usage: "settings in JSON with comments", Required: true}},
-		Action: func(ctx context.Context, c *cli.Command) error { return run(ctx, c.String("config")) },
+		Action: func(ctx context.Context, c *cli.Command) error { return run(ctx, c.String("config"), connect) },
 	}
 	if err := command.Run(ctx, args); err != nil {
 		_, _ = os.Stderr.WriteString(err.Error() + "\n")
@@ -38,20 +38,57 @@
 	return 0
 }
 
-func run(ctx context.Context, path string) error {
-	debug.SetMemoryLimit(memoryLimit)
+func run(ctx context.Context, path string, connect Connect) error {
 	settings, err := config.Load(path)
 	if err != nil {
 		return err
 	}
-	log := common.NewLog(os.Stderr, settings.Node, settings.DataCentre)
+	debug.SetMemoryLimit(int64(settings.MemoryLimitMB) << 20)
+	logging, stopLogging := context.WithCancel(context.Background())
+	writer, written := common.NewLogWriter(logging, os.Stdout)
+	defer func() {
+		stopLogging()
+		<-written
+	}()
+	log := common.NewLog(writer, settings.Node, settings.DataCentre)
 	if level, err := logrus.ParseLevel(settings.LogLevel); err == nil {
 		log.Logger.SetLevel(level)
 	}
-	n, cleanUp, err := node.New(common.New(common.WithLog(log)), settings)
+	cm := common.New(common.WithLog(log))
+	var opts []node.Option
+	if settings.Source == config.SourceStore {
+		connection, cleanUp := connect(cm, settings)
+		defer cleanUp()
+		opts = append(opts, node.WithConnection(connection))
+	}
+	n, cleanUp, err := node.New(cm, settings, opts...)
 	if err != nil {
 		return err
 	}
 	defer cleanUp()
+	watching := watchReload(ctx, log, path)
+	defer func() { <-watching }()
 	return n.Run(ctx)
 }
+
+// watchReload checks the settings again on SIGHUP and tells what it found.
+// Addresses and names come into force at the next start.
+func watchReload(ctx context.Context, log *logrus.Entry, path string) <-chan struct{} {
+	done := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		defer close(done)
+		defer signal.Stop(signals)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+			}
+			_, err := config.Load(path)
+			log.WithField("event", "settings_reloaded").WithError(err).Info("settings read again")
+		}
+	}()
+	return done
+}
--- a/pkg/fleet/endpoints.go
+++ b/pkg/fleet/endpoints.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,71 +21,33 @@
 type Endpoint struct {
 	record *wire.Endpoint
 	epoch  uint64
+	// coldUntil is the time until which the backend server is slow after its start.
+	coldUntil time.Time
 	// seen is made when this node first uses the endpoint, since in a large
 	// fleet it uses few.
-	seen atomic.Pointer[observed]
+	seen atomic.Pointer[Observed]
 }
 
-// observed holds an entry node's own measurements of one backend server, which
-// outlive a change of its record.
-type observed struct {
-	inFlight      atomic.Int32
-	reported      atomic.Int32
-	latencyMicros atomic.Int64
-	// avoidUntil is the Unix time in milliseconds until which the endpoint's
-	// node counts as unreachable from here.
-	avoidUntil atomic.Int64
-}
-
-const latencyWeight = 8
-
-func (e *Endpoint) observed() *observed {
+// Observed returns this node's measurements of the endpoint, which outlive a
+// change of its record.
+func (e *Endpoint) Observed() *Observed {
 	if o := e.seen.Load(); o != nil {
 		return o
 	}
-	e.seen.CompareAndSwap(nil, &observed{})
+	e.seen.CompareAndSwap(nil, newObserved())
 	return e.seen.Load()
 }
 
 // Record returns the endpoint as its owner node announced it.
 func (e *Endpoint) Record() *wire.Endpoint { return e.record }
 
-// Begin counts a call that this node sends to the endpoint.
-func (e *Endpoint) Begin() { e.observed().inFlight.Add(1) }
-
-// End counts the end of a call.
-func (e *Endpoint) End() { e.observed().inFlight.Add(-1) }
-
-// Avoid notes that the endpoint's node could not be reached, for use until the given time.
-func (e *Endpoint) Avoid(until time.Time) { e.observed().avoidUntil.Store(until.UnixMilli()) }
-
-// Avoided reports whether the endpoint's node lately could not be reached.
-func (e *Endpoint) Avoided(now time.Time) bool {
-	o := e.seen.Load()
-	return o != nil && now.UnixMilli() < o.avoidUntil.Load()
-}
-
-// Observe keeps the owner's in-flight count and the latency of an answer in microseconds.
-func (e *Endpoint) Observe(inFlight int32, latencyMicros int64) {
-	e.observed().reported.Store(inFlight)
-	old := e.observed().latencyMicros.Load()
-	if old == 0 {
-		old = latencyMicros
-	}
-	e.observed().latencyMicros.Store(old + (latencyMicros-old)/latencyWeight)
-}
-
-// Load estimates the work that waits at the endpoint, for comparisons between
-// endpoints of one service: busy slots per slot, weighted by latency.
-func (e *Endpoint) Load() float64 {
-	busy := float64(max(e.observed().inFlight.Load(), e.observed().reported.Load())) + 1
-	latency := float64(e.observed().latencyMicros.Load()) + 1000
-	return busy * latency / float64(max(e.record.GetSlots(), 1))
-}
+// IsCold reports whether the backend server is still slow after its start.
+func (e *Endpoint) IsCold(now time.Time) bool { return now.Before(e.coldUntil) }
 
 // Endpoints indexes the backend servers of the fleet by service.
 type Endpoints struct {
 	members *Members
+	now     func() time.Time
 	shards  [endpointShards]endpointShard
 }
 
@@ -94,7 +58,7 @@
 
 // NewEndpoints returns an index that follows the endpoint records of store.
 func NewEndpoints(store *gossip.Store, members *Members) *Endpoints {
-	e := &Endpoints{members: members}
+	e := &Endpoints{members: members, now: members.Now}
 	for i := range e.shards {
 		e.shards[i].services = make(map[string][]*Endpoint)
 	}
@@ -121,13 +85,13 @@
 	defer sh.mu.Unlock()
 	old := sh.services[record.GetService()]
 	next := make([]*Endpoint, 0, len(old)+1)
-	entry := &Endpoint{record: record, epoch: r.GetEpoch()}
+	entry := &Endpoint{record: record, epoch: r.GetEpoch(), coldUntil: e.now().Add(time.Duration(record.GetColdMs()) * time.Millisecond)}
 	for _, other := range old {
 		if !sameEndpoint(other.record, record) {
 			next = append(next, other)
 			continue
 		}
-		entry.seen.Store(other.observed())
+		entry.seen.Store(other.Observed())
 	}
 	if !record.GetDown() {
 		next = append(next, entry)
@@ -173,3 +137,21 @@
 		return (version == "" || r.GetVersion() == version) && (dataCentre == "" || r.GetDataCentre() == dataCentre)
 	}))
 }
+
+// Versions returns the versions of which a service has endpoints that are
+// alive, the one whose backend servers started first at the head.
+func (e *Endpoints) Versions(service string) []string {
+	oldest := make(map[string]int64)
+	for _, entry := range e.Usable(service, func(*wire.Endpoint) bool { return true }) {
+		version, born := entry.record.GetVersion(), entry.record.GetBornUnixMs()
+		if first, ok := oldest[version]; !ok || born < first {
+			oldest[version] = born
+		}
+	}
+	versions := make([]string, 0, len(oldest))
+	for version := range oldest {
+		versions = append(versions, version)
+	}
+	slices.SortFunc(versions, func(a, b string) int { return cmp.Or(cmp.Compare(oldest[a], oldest[b]), cmp.Compare(a, b)) })
+	return versions
+}
--- a/pkg/gossip/store.go
+++ b/pkg/gossip/store.go
@@ -34,6 +34,7 @@
 	PrefixCrash    = "c/"
 	PrefixShare    = "s/"
 	PrefixEvidence = "v/"
+	PrefixRollout  = "r/"
 )
 
 // Store is the replica of one node.
--- a/pkg/node/gossiper.go
+++ b/pkg/node/gossiper.go
@@ -9,7 +9,6 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fleet"
-	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
@@ -99,10 +98,10 @@
 
 // pushRelease tells peers that lack the newest release of it.
 func (g *gossiper) pushRelease(ctx context.Context) {
-	sequence := g.holder.Held().Sequence()
+	sequence := g.held()
 	var lacking []*wire.Member
 	for _, member := range g.members.Peers() {
-		if g.holder.HeldBy(member.GetNode()) < sequence {
+		if g.heldBy(member.GetNode()) < sequence {
 			lacking = append(lacking, member)
 		}
 	}
@@ -189,16 +188,24 @@
 }
 
 func (g *gossiper) sendAddressed(ctx context.Context, records []*wire.Record) {
-	in := &wire.ExchangeRequest{Node: g.settings.Node, DataCentre: g.settings.DataCentre, Records: records, Sequence: g.holder.Held().Sequence()}
+	in := g.baseRequest(records)
 	for _, member := range fleet.Relays(append(g.members.Peers(), g.members.Self())) {
-		if member.GetNode() == g.settings.Node {
-			continue
+		if member.GetNode() != g.settings.Node {
+			g.sendMessage(ctx, member.GetAddress(), in)
 		}
-		limited, cancel := context.WithTimeout(ctx, addressedTimeout)
-		if _, err := g.control.Exchange(limited, member.GetAddress(), in); err != nil {
-			g.Count(`hibiscusrock_evidence_lost_total{reason="unreachable"}`)
-		}
-		cancel()
+	}
+}
+
+// sendTo sends one record to one node and no others.
+func (g *gossiper) sendTo(ctx context.Context, address string, record *wire.Record) {
+	g.sendMessage(ctx, address, g.baseRequest([]*wire.Record{record}))
+}
+
+func (g *gossiper) sendMessage(ctx context.Context, address string, in *wire.ExchangeRequest) {
+	ctx, cancel := context.WithTimeout(ctx, addressedTimeout)
+	defer cancel()
+	if _, err := g.control.Exchange(ctx, address, in); err != nil {
+		g.Count(`hibiscusrock_evidence_lost_total{reason="unreachable"}`)
 	}
 }
 
@@ -213,7 +220,7 @@
 	g.Count(`hibiscusrock_gossip_exchanges_total`)
 	g.records.Apply(out.GetRecords(), true)
 	g.heard(out.GetNode(), out.GetSequence())
-	if out.GetSequence() > g.holder.Held().Sequence() {
+	if out.GetSequence() > g.held() {
 		g.pull(ctx, address)
 	}
 	if out.GetDigest() != g.records.Digest() {
@@ -225,22 +232,20 @@
 // newExchange tells the peer what is new. A peer that is not known as a member
 // of this data centre is told durable records only.
 func (g *gossiper) newExchange(member *wire.Member) *wire.ExchangeRequest {
-	held := g.holder.Held()
 	remote := member.GetDataCentre() != g.settings.DataCentre
-	in := &wire.ExchangeRequest{
-		Node:       g.settings.Node,
-		DataCentre: g.settings.DataCentre,
-		Records:    g.records.Rumours(rumourBytes, remote),
-		Digest:     g.records.Digest(),
-		Sequence:   held.Sequence(),
-	}
-	lacks := member != nil && g.holder.HeldBy(member.GetNode()) < held.Sequence()
-	if lacks && len(held.Signed().GetBody()) <= largestPushed {
-		in.Release = held.Signed()
+	in := g.baseRequest(g.records.Rumours(rumourBytes, remote))
+	in.Digest = g.records.Digest()
+	if member != nil && g.heldBy(member.GetNode()) < in.GetSequence() {
+		g.attach(in)
 	}
 	return in
 }
 
+// baseRequest returns a message with records and what this node holds.
+func (g *gossiper) baseRequest(records []*wire.Record) *wire.ExchangeRequest {
+	return &wire.ExchangeRequest{Node: g.settings.Node, DataCentre: g.settings.DataCentre, Records: records, Sequence: g.held()}
+}
+
 // memberAt returns the member with an address, or nil.
 func (g *gossiper) memberAt(address string) *wire.Member {
 	for _, member := range g.members.All() {
@@ -251,14 +256,6 @@
 	return nil
 }
 
-// heard notes what a node holds.
-func (n *Node) heard(name string, sequence uint64) {
-	n.starter.heard(name, sequence)
-	if r := n.records.Get(gossip.PrefixMember + name); r != nil {
-		n.holder.Heard(name, sequence, r.GetMember().GetDataCentre() == n.settings.DataCentre)
-	}
-}
-
 // repair fetches the records in which this node and a peer differ, and sends its own.
 func (g *gossiper) repair(ctx context.Context, address string) {
 	g.mu.Lock()
@@ -280,7 +277,8 @@
 	if len(records) == 0 {
 		return
 	}
-	back := &wire.ExchangeRequest{Node: g.settings.Node, DataCentre: g.settings.DataCentre, Records: records, Digest: g.records.Digest(), Sequence: g.holder.Held().Sequence()}
+	back := g.baseRequest(records)
+	back.Digest = g.records.Digest()
 	_, _ = g.control.Exchange(ctx, address, back)
 }
 
--- a/pkg/node/host.go
+++ b/pkg/node/host.go
@@ -85,7 +85,12 @@
 
 func (n *Node) hostHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT /v1/backend-servers/{instance}", n.serveAnnouncement)
+	if n.link != nil {
+		n.link.Register(mux, n.hostCalls())
+	} else {
+		mux.HandleFunc("PUT /v1/backend-servers/{instance}", n.serveAnnouncement)
+		mux.HandleFunc("GET /debug/moves/{service}", n.serveTrace)
+	}
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", n.serveReady)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
@@ -93,7 +98,6 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET /debug/state", n.serveState)
-	mux.HandleFunc("GET /debug/moves/{service}", n.serveTrace)
 	return mux
 }
 
@@ -141,7 +145,7 @@
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if n.holder.Table() == nil {
+	if n.table() == nil {
 		http.Error(w, "no bundle in force", http.StatusServiceUnavailable)
 		return
 	}
@@ -157,15 +161,15 @@
 
 // State returns what the node knows.
 func (n *Node) State() State {
-	table := n.holder.Table()
+	table := n.table()
 	s := State{
 		Node:       n.settings.Node,
 		DataCentre: n.settings.DataCentre,
-		Held:       n.holder.Held().Sequence(),
+		Held:       n.held(),
 		Enforced:   table.Sequence(),
 		Services:   table.Services(),
 		Relay:      n.members.IsRelay(),
-		Steward:    n.moves.steward.isActive(),
+		Steward:    n.isSteward(),
 		Endpoints:  make(map[string]int),
 		Records:    n.records.Len(),
 	}
@@ -179,7 +183,7 @@
 			DataCentre: member.GetDataCentre(),
 			Address:    member.GetAddress(),
 			State:      member.GetState().String(),
-			Held:       n.holder.HeldBy(member.GetNode()),
+			Held:       n.heldBy(member.GetNode()),
 		})
 	}
 	for _, b := range n.owner.Backends() {
@@ -189,7 +193,7 @@
 			Slots: int(r.GetSlots()), Limit: b.Gate().Limit(), Running: b.Gate().Running(), Draining: r.GetDraining(), Down: r.GetDown(),
 		})
 	}
-	if table == nil {
+	if table == nil || n.link != nil {
 		return s
 	}
 	s.Bundle = table.Document().Release().GetBundleName()
@@ -204,10 +208,17 @@
 	return s
 }
 
+func (n *Node) isSteward() bool {
+	if n.rollouts != nil {
+		return n.rollouts.steward.isActive()
+	}
+	return n.moves.steward.isActive()
+}
+
 func (n *Node) publishGauges() {
 	set := n.Metrics()
-	set.NewGauge(`hibiscusrock_release_held_sequence`, func() float64 { return float64(n.holder.Held().Sequence()) })
-	set.NewGauge(`hibiscusrock_release_enforced_sequence`, func() float64 { return float64(n.holder.Table().Sequence()) })
+	set.NewGauge(`hibiscusrock_release_held_sequence`, func() float64 { return float64(n.held()) })
+	set.NewGauge(`hibiscusrock_release_enforced_sequence`, func() float64 { return float64(n.table().Sequence()) })
 	set.NewGauge(`hibiscusrock_members`, func() float64 { return float64(n.members.Len()) })
 	set.NewGauge(`hibiscusrock_records`, func() float64 { return float64(n.records.Len()) })
 	set.NewGauge(`hibiscusrock_control_sent_bytes`, func() float64 {
--- a/pkg/node/moves.go
+++ b/pkg/node/moves.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/catalog"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
@@ -59,12 +60,30 @@
 func newMoves(n *Node) *moves {
 	m := &moves{Node: n, woken: make(chan struct{}, 1), tracks: make(map[string]*moveTrack)}
 	m.views.Store(&map[string]moveView{})
-	m.steward = newSteward(n)
+	m.steward = newSteward(n.Common, n.settings.Node, election{
+		key:       store.StewardKey(n.settings.DataCentre),
+		lease:     stewardLease,
+		renewal:   stewardRenewal,
+		get:       n.platform.Get,
+		swap:      n.platform.Swap,
+		grant:     n.platform.Grant,
+		keepAlive: n.platform.KeepAlive,
+		revoke:    n.platform.Revoke,
+		eligible:  n.members.IsRelay,
+		stoodDown: m.forgetDecisions,
+	})
 	m.recorded = newMoveRecorder()
 	n.records.OnChange(m.observe)
 	return m
 }
 
+// forgetDecisions makes the next steward of this node read where moves stand.
+func (m *moves) forgetDecisions() {
+	for _, t := range m.tracks {
+		t.resumed = false
+	}
+}
+
 func (m *moves) wake() {
 	m.rebuild()
 	wake(m.woken)
@@ -224,15 +243,6 @@
 	m.gossiper.sendToRelays(r)
 }
 
-func (m *moves) hostsService(service string) bool {
-	for _, b := range m.owner.Backends() {
-		if b.Record().GetService() == service {
-			return true
-		}
-	}
-	return false
-}
-
 // evidence returns what the owner nodes of this data centre reported.
 func (m *moves) evidence(move *wire.Move) []*wire.Evidence {
 	var evidence []*wire.Evidence
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/booking"
@@ -31,11 +32,14 @@
 	headerTimeout     = 5 * time.Second
 	idleCallerTimeout = 2 * time.Minute
 	largestHeader     = 64 << 10
-	// drainNotice is the time between the notice that this node stops and its
-	// refusal of new work, in which other nodes hear of it.
-	drainNotice = 500 * time.Millisecond
 )
 
+// Option changes a Node under construction.
+type Option func(*Node)
+
+// WithConnection makes the node follow the users' store instead of signed releases.
+func WithConnection(c *Connection) Option { return func(n *Node) { n.link = c } }
+
 // Node is one process of the system.
 type Node struct {
 	*common.Common
@@ -58,26 +62,33 @@
 	starter   *starter
 	lease     *claimLease
 
+	// link, snapshots, joiner and rollouts replace holder, starter and moves on
+	// a node that follows the users' store.
+	link      *Connection
+	snapshots *distribution.Snapshots
+	joiner    *joiner
+	rollouts  *rollouts
+
+	ready    atomic.Bool
 	cleanUps []func()
 }
 
 // New returns a node with the given settings, and its clean-up function.
-func New(cm *common.Common, settings config.Settings) (*Node, func(), error) {
-	ring, err := keys.NewRing(settings.Signers, settings.RequiredSignatures)
-	if err != nil {
-		return nil, nil, err
-	}
+func New(cm *common.Common, settings config.Settings, opts ...Option) (*Node, func(), error) {
 	n := &Node{Common: cm, settings: settings}
+	for _, opt := range opts {
+		opt(n)
+	}
 	n.buildFleet()
 	n.buildClients()
-	n.holder = distribution.New(cm, ring,
-		distribution.WithAlivePeers(n.countAlivePeers),
-		distribution.WithHeld(n.releaseHeld),
-		distribution.WithEnforced(n.releaseEnforced))
-	n.buildRequests()
-	n.moves = newMoves(n)
+	if n.link != nil {
+		n.buildConnected()
+	} else if err := n.buildReleases(); err != nil {
+		n.cleanUp()
+		return nil, nil, err
+	}
 	n.gossiper = newGossiper(n)
-	n.starter = newStarter(n)
+	var err error
 	n.server, err = peer.NewServer(cm, []byte(settings.DeploymentSecret), &peerHandler{node: n})
 	if err != nil {
 		n.cleanUp()
@@ -87,6 +98,25 @@
 	return n, n.cleanUp, nil
 }
 
+// buildReleases builds what a node needs that follows signed releases.
+func (n *Node) buildReleases() error {
+	ring, err := keys.NewRing(n.settings.Signers, n.settings.RequiredSignatures)
+	if err != nil {
+		return err
+	}
+	var cleanUp func()
+	n.platform, cleanUp = store.NewClient(n.Common, n.settings.Platform.Endpoints, store.WithTimeout(n.settings.PlatformTimeout()))
+	n.cleanUps = append(n.cleanUps, cleanUp)
+	n.holder = distribution.New(n.Common, ring,
+		distribution.WithAlivePeers(n.countAlivePeers),
+		distribution.WithHeld(n.releaseHeld),
+		distribution.WithEnforced(n.releaseEnforced))
+	n.moves = newMoves(n)
+	n.starter = newStarter(n)
+	n.buildRequests()
+	return nil
+}
+
 func (n *Node) buildFleet() {
 	self := &wire.Member{Node: n.settings.Node, DataCentre: n.settings.DataCentre, Address: n.settings.AdvertiseAddress}
 	n.records = gossip.New(gossip.WithClock(n.Now), gossip.WithAudience(func() int { return n.members.Len() }))
@@ -100,8 +130,6 @@
 	host, _, _ := net.SplitHostPort(n.settings.PeerAddress)
 	local := net.ParseIP(host)
 	var cleanUp func()
-	n.platform, cleanUp = store.NewClient(n.Common, n.settings.Platform.Endpoints, store.WithTimeout(n.settings.PlatformTimeout()))
-	n.cleanUps = append(n.cleanUps, cleanUp)
 	n.control, cleanUp = peer.NewClient(n.Common, secret, local)
 	n.cleanUps = append(n.cleanUps, cleanUp)
 	n.calls, cleanUp = peer.NewClient(n.Common, secret, local)
@@ -118,22 +146,46 @@
 		Lease:    n.lease.get,
 	}, n.settings.Node)
 	var cleanUp func()
-	n.owner, cleanUp = request.NewOwner(n.Common, n.recorder, n.ward, claims, request.OwnerHooks{
+	n.owner, cleanUp = request.NewOwner(n.Common, n.recorder, n.ward, request.OwnerHooks{
 		QueueLength: n.queueLength,
 		Halted:      n.halted,
 		Moving:      n.moving,
 		Announce:    n.announce,
-	})
+	}, request.WithClaims(claims))
 	n.cleanUps = append(n.cleanUps, cleanUp)
-	n.entry = request.NewEntry(n.Common, n.settings.Node, n.owner, n.ward, routing.NewPicker(n.Now, n.endpoints, n.settings.DataCentre), request.EntryHooks{
-		Table:    n.holder.Table,
-		Permille: n.permille,
-		Halted:   n.halted,
+	n.entry = request.NewEntry(n.Common, n.settings.Node, n.owner, n.ward, n.newPicker(), request.EntryHooks{
+		Table:    n.table,
+		Shares:   n.shares,
+		Standby:  n.standby,
 		Address:  n.address,
 		CallPeer: n.calls.Call,
 	})
 }
 
+func (n *Node) newPicker() *routing.Picker {
+	return routing.NewPicker(n.Now, n.endpoints, n.settings.DataCentre)
+}
+
+// shares returns the versions of a service with their shares.
+func (n *Node) shares(table *routing.Table, service string) routing.Shares {
+	move := table.Move(service)
+	permille := 0
+	if move != nil {
+		permille = n.moves.permille(move)
+	}
+	return routing.CurrentShares(table.Service(service), move, permille, func(version string) bool { return n.halted(service, version) })
+}
+
+// standby returns the target of a service's move, which stands in when no other
+// version has a backend server.
+func (n *Node) standby(table *routing.Table, service string) string {
+	move := table.Move(service)
+	if move == nil || n.halted(service, move.GetTo()) {
+		return ""
+	}
+	return move.GetTo()
+}
+
 func (n *Node) cleanUp() {
 	for _, f := range n.cleanUps {
 		f()
@@ -158,7 +210,7 @@
 func (n *Node) releaseEnforced(*routing.Table) { n.moves.wake() }
 
 func (n *Node) queueLength(service string) int {
-	if s := n.holder.Table().Service(service); s != nil {
+	if s := n.table().Service(service); s != nil {
 		return s.QueueLength
 	}
 	return bundle.DefaultQueueLength
@@ -171,8 +223,6 @@
 	return move != nil && move.GetTo() == version
 }
 
-func (n *Node) permille(move *wire.Move) int { return n.moves.permille(move) }
-
 func (n *Node) address(name string) (string, bool) {
 	r := n.records.Get(gossip.PrefixMember + name)
 	if r == nil {
@@ -195,49 +245,63 @@
 // Run serves until ctx ends, then stops gracefully: no request in flight is cut
 // unless the stop timeout passes.
 func (n *Node) Run(ctx context.Context) error {
-	listeners, err := n.listen()
-	if err != nil {
-		return err
-	}
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	callers := &http.Server{Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleCallerTimeout, MaxHeaderBytes: largestHeader}
 	host := &http.Server{Handler: n.hostHandler(), ReadHeaderTimeout: headerTimeout}
-	ended := []<-chan error{
-		serveHTTP(callers, listeners.callers),
-		serveHTTP(host, listeners.host),
-		n.server.Serve(background, listeners.peers),
+	ended, err := n.serveAll(background, callers, host)
+	if err != nil {
+		return err
 	}
 	loops := n.startLoops(background)
-	n.Log().Info("node started")
+	n.ready.Store(true)
+	n.Log().WithField("event", "node_started").Info("node started")
 	err = waitForEnd(ctx, ended)
+	n.ready.Store(false)
 	n.stop(callers)
 	stopBackground()
 	for _, loop := range loops {
 		<-loop
 	}
 	_ = host.Close()
-	n.Log().Info("node stopped")
+	n.Log().WithField("event", "node_stopped").Info("node stopped")
 	return err
 }
 
-type listeners struct {
-	callers, host, peers net.Listener
-}
-
-func (n *Node) listen() (listeners, error) {
-	var l listeners
-	for _, want := range []struct {
+// serveAll listens on every address of the settings and starts the servers.
+func (n *Node) serveAll(ctx context.Context, callers, host *http.Server) ([]<-chan error, error) {
+	peers, err := listen(n.settings.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	ended := []<-chan error{n.server.Serve(ctx, peers)}
+	for _, served := range []struct {
 		address string
-		to      *net.Listener
-	}{{n.settings.CallerAddress, &l.callers}, {n.settings.HostAddress, &l.host}, {n.settings.PeerAddress, &l.peers}} {
-		listener, err := net.Listen("tcp", want.address)
+		server  *http.Server
+	}{
+		{n.settings.CallerAddress, callers},
+		{n.settings.HostAddress, host},
+		{n.settings.ReadyAddress, host},
+		{n.settings.MetricsAddress, host},
+	} {
+		if served.address == "" {
+			continue
+		}
+		listener, err := listen(served.address)
 		if err != nil {
-			return l, fault.Wrap(err, fault.KindUnavailable, "cannot listen on "+want.address, "free the port or change the address in the settings")
+			return nil, err
 		}
-		*want.to = listener
+		ended = append(ended, serveHTTP(served.server, listener))
 	}
-	return l, nil
+	return ended, nil
+}
+
+func listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.KindUnavailable, "cannot listen on "+address, "free the port or change the address in the settings")
+	}
+	return listener, nil
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) <-chan error {
@@ -269,13 +333,13 @@
 // stop drains this node: others hear of it first, then callers' requests and
 // those of other nodes run to their end.
 func (n *Node) stop(callers *http.Server) {
-	n.Log().Info("node stopping")
+	n.Log().WithField("event", "node_stopping").Info("node stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout())
 	defer cancel()
 	n.entry.BeginStop()
 	n.owner.DrainAll()
 	n.gossiper.flush(ctx)
-	time.Sleep(drainNotice)
+	time.Sleep(n.settings.StopNotice())
 	var wg sync.WaitGroup
 	for _, stop := range []func(context.Context) error{callers.Shutdown, n.owner.Stop} {
 		wg.Add(1)
@@ -289,21 +353,31 @@
 	wg.Wait()
 	n.members.Leave()
 	n.gossiper.flush(ctx)
-	n.starter.withdraw(ctx)
+	n.withdraw(ctx)
+}
+
+// withdraw removes this node from where starting nodes find it.
+func (n *Node) withdraw(ctx context.Context) {
+	if n.joiner != nil {
+		n.joiner.registrar.withdraw(ctx)
+		return
+	}
+	n.starter.registrar.withdraw(ctx)
 }
 
 // startLoops starts the background loops; each closes its channel at its end.
 func (n *Node) startLoops(ctx context.Context) []<-chan struct{} {
 	n.members.Join()
-	return []<-chan struct{}{
-		loop(ctx, n.starter.run),
+	loops := []<-chan struct{}{
 		loop(ctx, n.gossiper.run),
 		loop(ctx, n.gossiper.runAddressed),
 		loop(ctx, n.runProbes),
 		loop(ctx, n.runHousekeeping),
-		loop(ctx, n.runRelay),
-		loop(ctx, n.moves.run),
 	}
+	if n.link != nil {
+		return append(loops, loop(ctx, n.joiner.run), loop(ctx, n.followStore), loop(ctx, n.rollouts.run))
+	}
+	return append(loops, loop(ctx, n.starter.run), loop(ctx, n.runRelay), loop(ctx, n.moves.run))
 }
 
 func loop(ctx context.Context, run func(context.Context)) <-chan struct{} {
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
+	"github.com/hibiscusrock/hibiscusrock/pkg/peer"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
@@ -22,7 +23,9 @@
 
 // Call implements wire.DRPCPeerServer.
 func (p *peerHandler) Call(in *wire.CallRequest, stream wire.DRPCPeer_CallStream) error {
-	return p.node.owner.Serve(stream.Context(), in, stream.Send)
+	return peer.KeepCallAlive(stream.Send, func(send func(*wire.CallAnswer) error) error {
+		return p.node.owner.Serve(stream.Context(), in, send)
+	})
 }
 
 // Exchange implements wire.DRPCPeerServer.
@@ -30,7 +33,7 @@
 	n := p.node
 	n.records.Apply(in.GetRecords(), true)
 	n.heard(in.GetNode(), in.GetSequence())
-	if in.GetSequence() > n.holder.Held().Sequence() {
+	if in.GetSequence() > n.held() {
 		p.takeRelease(ctx, in)
 	}
 	if n.records.HasRumours() {
@@ -40,7 +43,7 @@
 		Node:     n.settings.Node,
 		Records:  n.records.Rumours(rumourBytes, in.GetDataCentre() != n.settings.DataCentre),
 		Digest:   n.records.Digest(),
-		Sequence: n.holder.Held().Sequence(),
+		Sequence: n.held(),
 	}, nil
 }
 
@@ -50,12 +53,7 @@
 	if r == nil {
 		return
 	}
-	address := r.GetMember().GetAddress()
-	if in.GetRelease() != nil {
-		p.node.offer(ctx, in.GetRelease(), p.node.peerSource(address))
-		return
-	}
-	p.node.gossiper.pull(ctx, address)
+	p.node.take(ctx, r.GetMember().GetAddress(), in.GetRelease(), in.GetSnapshot())
 }
 
 // Compare implements wire.DRPCPeerServer.
@@ -74,7 +72,7 @@
 	if in.GetNode() != "" {
 		n.heard(in.GetNode(), in.GetSequence())
 	}
-	out := &wire.PingResponse{Reached: true, Node: n.settings.Node, Sequence: n.holder.Held().Sequence()}
+	out := &wire.PingResponse{Reached: true, Node: n.settings.Node, Sequence: n.held()}
 	if in.GetTargetAddress() == "" {
 		return out, nil
 	}
@@ -85,6 +83,9 @@
 
 // FetchRelease implements wire.DRPCPeerServer.
 func (p *peerHandler) FetchRelease(_ context.Context, in *wire.FetchReleaseRequest) (*wire.FetchReleaseResponse, error) {
+	if p.node.snapshots != nil {
+		return &wire.FetchReleaseResponse{Snapshot: p.node.snapshots.Newest()}, nil
+	}
 	out := &wire.FetchReleaseResponse{Release: p.node.holder.Release(in.GetSequence())}
 	if in.GetPage() == 0 {
 		return out, nil
@@ -100,6 +101,9 @@
 // FetchParts implements wire.DRPCPeerServer.
 func (p *peerHandler) FetchParts(_ context.Context, in *wire.FetchPartsRequest) (*wire.FetchPartsResponse, error) {
 	out := &wire.FetchPartsResponse{}
+	if p.node.holder == nil {
+		return out, nil
+	}
 	size := 0
 	for _, hash := range in.GetHashes() {
 		part := p.node.holder.Part(hash)
--- a/pkg/node/probes.go
+++ b/pkg/node/probes.go
@@ -30,12 +30,15 @@
 			n.probe(ctx, order[0])
 			order = order[1:]
 		}
+		if n.joiner != nil {
+			n.joiner.callGone(ctx)
+		}
 	}
 }
 
 // probe suspects a member that answers neither directly nor through others.
 func (n *Node) probe(ctx context.Context, member *wire.Member) {
-	in := &wire.PingRequest{Node: n.settings.Node, Sequence: n.holder.Held().Sequence()}
+	in := &wire.PingRequest{Node: n.settings.Node, Sequence: n.held()}
 	out, err := n.control.Ping(ctx, member.GetAddress(), probeTimeout, in)
 	if err == nil {
 		n.heard(out.GetNode(), out.GetSequence())
@@ -83,7 +86,9 @@
 		}
 		n.members.Tick()
 		n.owner.Tick()
-		n.holder.Tick()
+		if n.holder != nil {
+			n.holder.Tick()
+		}
 		if now := n.members.Incarnation(); now != incarnation {
 			incarnation = now
 			n.owner.Republish()
@@ -97,7 +102,16 @@
 		n.members.Forget(r)
 		n.ward.Forget(r)
 		if member := r.GetMember(); member != nil {
-			n.holder.Forget(member.GetNode())
+			n.forget(member.GetNode())
 		}
 	}
 }
+
+// forget drops what a node that is gone was heard to hold.
+func (n *Node) forget(name string) {
+	if n.snapshots != nil {
+		n.snapshots.Forget(name)
+		return
+	}
+	n.holder.Forget(name)
+}
--- /dev/null
+++ b/pkg/node/registrar.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
+)
+
+const seedLease = 30 * time.Second
+
+// registry is where nodes leave their addresses for those that start.
+type registry struct {
+	list      func(ctx context.Context) ([]store.KeyValue, error)
+	grant     func(ctx context.Context, ttl time.Duration) (int64, error)
+	put       func(ctx context.Context, key string, value []byte, lease int64) error
+	keepAlive func(ctx context.Context, lease int64) (bool, error)
+	revoke    func(ctx context.Context, lease int64) error
+}
+
+// registrar keeps this node's address in the registry, bound to a lease, and
+// the addresses that it last read there.
+type registrar struct {
+	*common.Common
+	registry registry
+	key      string
+	address  string
+
+	mu    sync.Mutex
+	lease int64
+	found []string
+}
+
+func newRegistrar(cm *common.Common, r registry, key, address string) *registrar {
+	return &registrar{Common: cm, registry: r, key: key, address: address}
+}
+
+// addresses returns the addresses that were last read.
+func (r *registrar) addresses() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.found
+}
+
+// read reads the addresses of all nodes and reports whether the registry answered.
+func (r *registrar) read(ctx context.Context) bool {
+	kvs, err := r.registry.list(ctx)
+	if err != nil {
+		return false
+	}
+	found := make([]string, len(kvs))
+	for i, kv := range kvs {
+		found[i] = string(kv.Value)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.found = found
+	return true
+}
+
+// renew keeps the lease alive, and writes the address under a new one when
+// there is none. It reports whether the address is in the registry.
+func (r *registrar) renew(ctx context.Context) bool {
+	r.mu.Lock()
+	lease := r.lease
+	r.mu.Unlock()
+	if lease != 0 {
+		alive, err := r.registry.keepAlive(ctx, lease)
+		if alive || err != nil {
+			return alive
+		}
+		r.Log().WithField("event", "registration_lapsed").Warn("registration lapsed")
+		r.setLease(0)
+	}
+	lease, err := r.registry.grant(ctx, seedLease)
+	if err != nil {
+		return false
+	}
+	if r.registry.put(ctx, r.key, []byte(r.address), lease) != nil {
+		return false
+	}
+	r.setLease(lease)
+	return true
+}
+
+func (r *registrar) setLease(lease int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease = lease
+}
+
+// withdraw removes the address when the node stops.
+func (r *registrar) withdraw(ctx context.Context) {
+	r.mu.Lock()
+	lease := r.lease
+	r.mu.Unlock()
+	if lease != 0 {
+		_ = r.registry.revoke(ctx, lease)
+	}
+}
--- /dev/null
+++ b/pkg/node/releases.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"context"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
+	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+// table returns the table in force, or nil.
+func (n *Node) table() *routing.Table {
+	if n.snapshots != nil {
+		return n.snapshots.Table()
+	}
+	return n.holder.Table()
+}
+
+// held returns the sequence of the newest configuration that this node holds.
+func (n *Node) held() uint64 {
+	if n.snapshots != nil {
+		return n.snapshots.Sequence()
+	}
+	return n.holder.Held().Sequence()
+}
+
+// heldBy returns the sequence that a node was last heard to hold.
+func (n *Node) heldBy(name string) uint64 {
+	if n.snapshots != nil {
+		return n.snapshots.HeldBy(name)
+	}
+	return n.holder.HeldBy(name)
+}
+
+// attach adds the newest configuration to a message, if it is small.
+func (n *Node) attach(in *wire.ExchangeRequest) {
+	if n.snapshots != nil {
+		if newest := n.snapshots.Newest(); len(newest.GetContent()) <= largestPushed {
+			in.Snapshot = newest
+		}
+		return
+	}
+	if held := n.holder.Held(); len(held.Signed().GetBody()) <= largestPushed {
+		in.Release = held.Signed()
+	}
+}
+
+// take takes in the configuration that a peer sent, or fetches it from address.
+func (n *Node) take(ctx context.Context, address string, release *wire.SignedRelease, snapshot *wire.Snapshot) {
+	switch {
+	case n.snapshots != nil && snapshot != nil:
+		n.offerSnapshot(snapshot.GetRevision(), snapshot.GetContent(), "peer "+address)
+	case n.snapshots == nil && release != nil:
+		n.offer(ctx, release, n.peerSource(address))
+	default:
+		n.gossiper.pull(ctx, address)
+	}
+}
+
+// heard notes what a node holds.
+func (n *Node) heard(name string, sequence uint64) {
+	r := n.records.Get(gossip.PrefixMember + name)
+	if n.snapshots != nil {
+		if r != nil {
+			n.snapshots.Heard(name, sequence)
+		}
+		return
+	}
+	n.starter.heard(name, sequence)
+	if r != nil {
+		n.holder.Heard(name, sequence, r.GetMember().GetDataCentre() == n.settings.DataCentre)
+	}
+}
+
+// hostsService reports whether a backend server of the service runs on this host.
+func (n *Node) hostsService(service string) bool {
+	for _, b := range n.owner.Backends() {
+		if b.Record().GetService() == service {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/node/sources.go
+++ b/pkg/node/sources.go
@@ -18,10 +18,10 @@
 	}
 	defer g.fetching.Store(false)
 	out, err := g.control.FetchRelease(ctx, address, &wire.FetchReleaseRequest{})
-	if err != nil || out.GetRelease() == nil {
+	if err != nil || (out.GetRelease() == nil && out.GetSnapshot() == nil) {
 		return
 	}
-	g.offer(ctx, out.GetRelease(), g.peerSource(address))
+	g.take(ctx, address, out.GetRelease(), out.GetSnapshot())
 }
 
 func (n *Node) offer(ctx context.Context, signed *wire.SignedRelease, source distribution.Source) {
--- a/pkg/node/starter.go
+++ b/pkg/node/starter.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	seedLease         = 30 * time.Second
 	seedRenewal       = 10 * time.Second
 	seedsRead         = 64
 	firstJoinPause    = 100 * time.Millisecond
@@ -30,16 +29,25 @@
 	mu      sync.Mutex
 	heardBy map[string]uint64
 	started bool
-	lease   int64
-	// seeds are the addresses last read from the platform.
-	seeds    []string
-	platform struct {
+	// registrar keeps this node's address on the platform and reads the others'.
+	registrar *registrar
+	platform  struct {
 		answered bool
 		sequence uint64
 	}
 }
 
-func newStarter(n *Node) *starter { return &starter{Node: n, heardBy: make(map[string]uint64)} }
+func newStarter(n *Node) *starter {
+	return &starter{Node: n, heardBy: make(map[string]uint64), registrar: newRegistrar(n.Common, registry{
+		list: func(ctx context.Context) ([]store.KeyValue, error) {
+			return n.platform.List(ctx, store.SeedPrefix, seedsRead)
+		},
+		grant:     n.platform.Grant,
+		put:       n.platform.Put,
+		keepAlive: n.platform.KeepAlive,
+		revoke:    n.platform.Revoke,
+	}, store.SeedKey(n.settings.DataCentre, n.settings.Node), n.settings.AdvertiseAddress)}
+}
 
 // run joins through seeds until it has heard enough, then keeps the fleet
 // joined. The platform is asked beside that, so that its outage delays nothing.
@@ -58,7 +66,7 @@
 func (s *starter) askUntilStarted(ctx context.Context) {
 	pauses := newJoinBackoff(largestJoinPause)
 	for ctx.Err() == nil && !s.isStarted() {
-		s.readSeeds(ctx)
+		s.registrar.read(ctx)
 		s.askPlatform(ctx)
 		common.Sleep(ctx, pauses.NextBackOff())
 	}
@@ -86,27 +94,10 @@
 	s.mu.Unlock()
 }
 
-// readSeeds reads the seeds of the deployment from the platform.
-func (s *starter) readSeeds(ctx context.Context) {
-	kvs, err := s.Node.platform.List(ctx, store.SeedPrefix, seedsRead)
-	if err != nil {
-		return
-	}
-	var seeds []string
-	for _, kv := range kvs {
-		seeds = append(seeds, string(kv.Value))
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.seeds = seeds
-}
-
 // join exchanges with the seeds that are not known as members yet, and while
 // this node starts with all nodes of its data centre that it knows.
 func (s *starter) join(ctx context.Context) {
-	s.mu.Lock()
-	addresses := append(append([]string(nil), s.settings.Seeds...), s.seeds...)
-	s.mu.Unlock()
+	addresses := append(append([]string(nil), s.settings.Seeds...), s.registrar.addresses()...)
 	done := map[string]bool{s.settings.AdvertiseAddress: true}
 	for _, member := range s.members.All() {
 		if s.isStarted() {
@@ -171,8 +162,8 @@
 	pauses := newJoinBackoff(seedRenewal)
 	for ctx.Err() == nil {
 		if s.members.IsRelay() {
-			s.renewSeed(ctx)
-			s.readSeeds(ctx)
+			s.registrar.renew(ctx)
+			s.registrar.read(ctx)
 			s.join(ctx)
 		}
 		common.Sleep(ctx, pauses.NextBackOff())
@@ -182,27 +173,3 @@
 func newJoinBackoff(largest time.Duration) backoff.BackOff {
 	return &backoff.ExponentialBackOff{InitialInterval: firstJoinPause, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: largest}
 }
-
-func (s *starter) renewSeed(ctx context.Context) {
-	if s.lease != 0 {
-		alive, err := s.Node.platform.KeepAlive(ctx, s.lease)
-		if alive || err != nil {
-			return
-		}
-	}
-	lease, err := s.Node.platform.Grant(ctx, seedLease)
-	if err != nil {
-		return
-	}
-	key := store.SeedKey(s.settings.DataCentre, s.settings.Node)
-	if s.Node.platform.Put(ctx, key, []byte(s.settings.AdvertiseAddress), lease) == nil {
-		s.lease = lease
-	}
-}
-
-// withdraw removes this node's seed when it stops.
-func (s *starter) withdraw(ctx context.Context) {
-	if s.lease != 0 {
-		_ = s.Node.platform.Revoke(ctx, s.lease)
-	}
-}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	dialTimeout        = time.Second
+	dialTimeout        = 400 * time.Millisecond
 	idleExpiration     = 30 * time.Second
 	connectionsPerPeer = 32
 	connectionsInAll   = 2048
@@ -30,6 +30,9 @@
 	proofTimeout = 250 * time.Millisecond
 )
 
+// ErrSilent marks a call whose peer gave no sign of life for too long.
+var ErrSilent = errors.New("the peer is silent")
+
 // ErrNotSent marks a call that certainly never reached the peer.
 var ErrNotSent = errors.New("not sent")
 
@@ -182,7 +185,13 @@
 	if err != nil {
 		return errors.Join(ErrNotSent, err)
 	}
-	stream, err := wire.NewDRPCPeerClient(cn).Call(ctx, in)
+	watched, silence := watchSilence(ctx)
+	defer silence.stop()
+	if !in.GetIdempotent() {
+		// Only the answer itself ends a request that must not run again.
+		watched = ctx
+	}
+	stream, err := wire.NewDRPCPeerClient(cn).Call(watched, in)
 	if err != nil {
 		_ = cn.Close()
 		return fault.Wrap(err, fault.KindUnavailable, "the connection to "+address+" broke", "")
@@ -191,8 +200,9 @@
 		answer, err := stream.Recv()
 		if err != nil {
 			_ = cn.Close()
-			return fault.Wrap(err, fault.KindUnavailable, "the answer of "+address+" was cut", "")
+			return c.lost(watched, address, err)
 		}
+		silence.heard()
 		if err := received(answer); err != nil {
 			_ = cn.Close()
 			return err
@@ -209,6 +219,22 @@
 	return nil
 }
 
+// lost returns the error of a call without an answer. Other connections to a
+// silent peer are not used again.
+func (c *Client) lost(ctx context.Context, address string, err error) error {
+	if !errors.Is(context.Cause(ctx), ErrSilent) {
+		return fault.Wrap(err, fault.KindUnavailable, "the answer of "+address+" was cut", "")
+	}
+	c.Count(`hibiscusrock_peer_silent_calls_total`)
+	for {
+		cn, ok := c.pool.Take(address)
+		if !ok {
+			return errors.Join(ErrSilent, err)
+		}
+		_ = cn.Close()
+	}
+}
+
 // Traffic returns the bytes sent and received on connections this node opened.
 func (c *Client) Traffic() (sent, received uint64) { return c.sent.Load(), c.recv.Load() }
 
--- a/pkg/request/backends.go
+++ b/pkg/request/backends.go
@@ -1,13 +1,16 @@
 package request
 
 import (
+	"context"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/admission"
+	"github.com/hibiscusrock/hibiscusrock/pkg/backend"
 	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -22,15 +25,105 @@
 	coldTime = time.Second
 )
 
+// healthWeight is the share of one outcome in a backend server's rate of
+// failures, as a divisor.
+const healthWeight = 8
+
+// health is the rate at which a backend server lately failed requests itself.
+type health struct {
+	mu   sync.Mutex
+	rate float64
+}
+
+func (h *health) add(failed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	h.rate += (sample - h.rate) / healthWeight
+}
+
+func (h *health) failing() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.rate
+}
+
+// Backend is one backend server on this node's host.
+type Backend struct {
+	mu       sync.Mutex
+	record   *wire.Endpoint
+	lastSeen time.Time
+	life     uint64
+	// firstRun and runs tell a cold backend server from a warm one.
+	firstRun time.Time
+	runs     int
+	// up ends when the backend server is found down.
+	up     context.Context
+	fell   context.CancelFunc
+	client *backend.Client
+	close  func()
+
+	gate    *admission.Gate
+	breaker *admission.Breaker
+	health  health
+}
+
+// Record returns the backend server as last announced.
+func (b *Backend) Record() *wire.Endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.record
+}
+
+// Gate returns the backend server's admission gate.
+func (b *Backend) Gate() *admission.Gate { return b.gate }
+
+func (b *Backend) isDown() bool { return b.Record().GetDown() }
+
+// untilDown returns a context for a request. That of an idempotent request
+// ends when the backend server is found down, so that another can run it.
+func (b *Backend) untilDown(ctx context.Context, idempotent bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if !idempotent {
+		return ctx, cancel
+	}
+	b.mu.Lock()
+	up := b.up
+	b.mu.Unlock()
+	stop := context.AfterFunc(up, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// report adds what another request like this one would meet to an answer.
+func (b *Backend) report(work admission.Work, answer *wire.CallAnswer) {
+	const permille = 1000
+	forecast := b.gate.Forecast(work)
+	answer.InFlight = int32(b.gate.InFlight())
+	answer.WaitMicros = forecast.Wait.Microseconds()
+	answer.WorkMicros = forecast.Work.Microseconds()
+	answer.FailingPermille = uint32(b.health.failing() * permille)
+}
+
 // Announce takes an announcement of a backend server on this host, which is
 // also its heartbeat.
 func (o *Owner) Announce(record *wire.Endpoint) {
 	b, known := o.backendFor(record)
 	b.mu.Lock()
-	changed := !known || !proto.Equal(b.record, record)
-	if known && b.record.GetDown() {
+	changed := !known || !sameAnnouncement(b.record, record)
+	if known && (b.record.GetDown() || b.record.GetBornUnixMs() != record.GetBornUnixMs()) {
 		b.life++
 		b.runs = 0
+		b.up, b.fell = context.WithCancel(context.Background())
+	}
+	if known && b.record.GetAddress() != record.GetAddress() {
+		b.close()
+		b.client, b.close = backend.NewClient(record.GetAddress(), o.Now)
 	}
 	b.record = record
 	b.lastSeen = o.Now()
@@ -47,15 +140,89 @@
 	}
 }
 
+// Heartbeat is an announcement whose place in the life of the backend server is
+// known, so that a late one changes nothing.
+type Heartbeat struct {
+	// Record describes the backend server; it holds the start of its life and
+	// the number of the announcement.
+	Record *wire.Endpoint
+}
+
+// Heartbeat takes a numbered announcement in. The argument known is what peers
+// know of the backend server, or nil. It reports whether the backend server
+// began to leave by it.
+func (o *Owner) Heartbeat(h Heartbeat, known *wire.Endpoint) bool {
+	record := h.Record
+	o.mu.RLock()
+	b := o.backends[record.GetInstance()]
+	o.mu.RUnlock()
+	if b != nil {
+		known = b.Record()
+	}
+	if known != nil && isLate(record, known) {
+		o.Count(`hibiscusrock_announcements_late_total`)
+		if b != nil || !known.GetDraining() {
+			return false
+		}
+		// A restarted node keeps what it had acknowledged before.
+		record = proto.Clone(known).(*wire.Endpoint)
+	}
+	wasDraining := b != nil && known.GetDraining()
+	o.Announce(record)
+	return record.GetDraining() && !wasDraining
+}
+
+// isLate reports whether an announcement was made before the one known.
+func isLate(record, known *wire.Endpoint) bool {
+	if record.GetBornUnixMs() != known.GetBornUnixMs() {
+		return record.GetBornUnixMs() < known.GetBornUnixMs()
+	}
+	return record.GetNumber() < known.GetNumber()
+}
+
+// leftNumber is above every number of an announcement: nothing follows a leave.
+const leftNumber = 1 << 62
+
+// Leave takes a backend server out of use for the rest of its life. It reports
+// whether it was in use. The argument born is the start of its life, or 0.
+func (o *Owner) Leave(instance string, born int64) bool {
+	o.mu.RLock()
+	b := o.backends[instance]
+	o.mu.RUnlock()
+	if b == nil || (born != 0 && born < b.Record().GetBornUnixMs()) {
+		return false
+	}
+	record := proto.Clone(b.Record()).(*wire.Endpoint)
+	wasDraining := record.GetDraining()
+	record.Draining = true
+	record.Number = leftNumber
+	o.Announce(record)
+	return !wasDraining
+}
+
+// sameAnnouncement reports whether two announcements differ in nothing but the
+// time that a cold backend server has left and their numbers.
+func sameAnnouncement(a, b *wire.Endpoint) bool {
+	a, b = proto.Clone(a).(*wire.Endpoint), proto.Clone(b).(*wire.Endpoint)
+	a.ColdMs, b.ColdMs = 0, 0
+	if a.GetNumber() < leftNumber && b.GetNumber() < leftNumber {
+		a.Number, b.Number = 0, 0
+	}
+	return proto.Equal(a, b)
+}
+
 func (o *Owner) backendFor(record *wire.Endpoint) (*Backend, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	b, known := o.backends[record.GetInstance()]
 	if !known {
 		b = &Backend{
+			record:  record,
 			gate:    admission.NewGate(o.Now, int(record.GetSlots()), o.hooks.QueueLength(record.GetService())),
 			breaker: admission.NewBreaker(o.Now),
 		}
+		b.up, b.fell = context.WithCancel(context.Background())
+		b.client, b.close = backend.NewClient(record.GetAddress(), o.Now)
 		o.backends[record.GetInstance()] = b
 	}
 	return b, known
@@ -94,6 +261,7 @@
 			o.mu.Lock()
 			delete(o.backends, name)
 			o.mu.Unlock()
+			b.close()
 		}
 	}
 }
@@ -124,7 +292,9 @@
 	record := proto.Clone(b.record).(*wire.Endpoint)
 	record.Down = true
 	b.record = record
+	fell := b.fell
 	b.mu.Unlock()
+	fell()
 	o.Count(`hibiscusrock_backend_servers_down_total`)
 	o.Log().WithField("instance", record.GetInstance()).Warn("backend server is down")
 	o.hooks.Announce(record)
--- /dev/null
+++ b/pkg/request/call.go
@@ -0,0 +1,195 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fleet"
+	"github.com/hibiscusrock/hibiscusrock/pkg/quarantine"
+	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
+	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+// call is one caller's request.
+type call struct {
+	w       http.ResponseWriter
+	ctx     context.Context
+	table   *routing.Table
+	route   *bundle.Route
+	service *bundle.Service
+	// deadline is the end of the route's timeout or of the caller's patience.
+	deadline  time.Time
+	objective time.Time
+	begun     time.Time
+	request   *wire.CallRequest
+	tried     []*fleet.Endpoint
+	excluded  []string
+	crashes   int
+	// probes counts the owner nodes that found their wait too long.
+	probes int
+	// reached counts the attempts that may have reached a backend server.
+	reached int
+	// started is set once the head of the answer has gone to the caller.
+	started bool
+	// mayHaveRun is set once an attempt ended without a verdict of not run.
+	mayHaveRun bool
+	// failed is a backend server's own failure, which the caller gets unless
+	// another backend server does better.
+	failed *wire.CallAnswer
+}
+
+func (e *Entry) newCall(w http.ResponseWriter, r *http.Request) (*call, *verdict.Refusal) {
+	if e.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	table := e.hooks.Table()
+	if table == nil {
+		return nil, verdict.Refuse(verdict.NotRun, verdict.NoBundle)
+	}
+	route := table.Match(r.Host, r.Method, r.URL.Path)
+	if route == nil {
+		return nil, verdict.Refuse(verdict.NotRun, verdict.NoRoute)
+	}
+	name := e.chooseService(route)
+	service := table.Service(name)
+	if service == nil {
+		return nil, verdict.Refuse(verdict.NotRun, verdict.UnknownService)
+	}
+	body, refusal := readBody(w, r, route.MaxBodyBytes)
+	if refusal != nil {
+		return nil, refusal
+	}
+	c := &call{w: w, ctx: r.Context(), table: table, route: route, service: service, begun: e.Now()}
+	c.deadline = c.begun.Add(e.callTimeout(r, route))
+	c.objective = c.begun.Add(route.Objective())
+	c.request = e.newCallRequest(r, route, name, body)
+	c.request.Sequence = table.Sequence()
+	if e.ward.Blocked(c.request.GetFingerprint()) {
+		return c, verdict.Refuse(verdict.NotRun, verdict.CrashCausing)
+	}
+	return c, nil
+}
+
+func (e *Entry) chooseService(route *bundle.Route) string {
+	if len(route.Split) == 0 {
+		return route.Service
+	}
+	alternatives := make([]routing.Weighted, len(route.Split))
+	for i, target := range route.Split {
+		alternatives[i] = routing.Weighted{Name: target.Service, Weight: target.Weight}
+	}
+	return e.spread.Choose("route "+route.Name, alternatives)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *verdict.Refusal) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > int64(limit) {
+		return nil, verdict.Refuse(verdict.NotRun, verdict.BodyTooLarge)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, verdict.Refuse(verdict.NotRun, verdict.BodyTooLarge)
+	}
+	if err != nil {
+		return nil, verdict.Refuse(verdict.NotRun, verdict.BodyUnreadable)
+	}
+	return body, nil
+}
+
+// callTimeout returns the route's timeout, or the caller's if that is shorter.
+func (e *Entry) callTimeout(r *http.Request, route *bundle.Route) time.Duration {
+	timeout := route.Timeout()
+	ms, err := strconv.ParseInt(r.Header.Get(e.headers.RemainingMS), 10, 64)
+	if err == nil && ms > 0 {
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	return timeout
+}
+
+func (e *Entry) newCallRequest(r *http.Request, route *bundle.Route, service string, body []byte) *wire.CallRequest {
+	key := r.Header.Get(idempotencyHeader)
+	if len(key) > largestIdemBytes {
+		key = key[:largestIdemBytes]
+	}
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
+	}
+	in := &wire.CallRequest{
+		Service:        service,
+		Route:          route.Name,
+		Method:         r.Method,
+		Target:         target,
+		Host:           r.Host,
+		Headers:        encodeHeaders(r.Header, e.headers.own()...),
+		Body:           body,
+		Idempotent:     route.IsIdempotent(r.Method),
+		IdempotencyKey: key,
+		Nonce:          uuid.NewString(),
+		Fingerprint:    quarantine.Fingerprint(service, key, r.Method, target, body),
+		Priority:       uint32(route.Priority),
+		Caller:         e.caller,
+	}
+	if e.headers.KeepRequestID {
+		in.RequestId = r.Header.Get(e.headers.RequestID)
+		in.Nonce = ""
+	}
+	for _, status := range route.ShedStatuses {
+		in.ShedStatuses = append(in.ShedStatuses, int32(status))
+	}
+	return in
+}
+
+// maxAttempts returns the number of backend servers that the request may reach.
+func (c *call) maxAttempts() int {
+	if c.route.MaxAttempts == 0 {
+		return bundle.DefaultMaxAttempts
+	}
+	return c.route.MaxAttempts
+}
+
+// conclude returns the refusal with a verdict that holds for all attempts.
+func (c *call) conclude(refusal *verdict.Refusal) *verdict.Refusal {
+	if c.mayHaveRun && refusal.Verdict() == verdict.NotRun {
+		return verdict.Refuse(verdict.Unknown, refusal.Reason())
+	}
+	return refusal
+}
+
+// pass writes a chunk of the answer to the caller.
+func (c *call) pass(answer *wire.CallAnswer) error {
+	if !c.started {
+		c.writeHead(answer)
+	}
+	if _, err := c.w.Write(answer.GetBody()); err != nil {
+		return err
+	}
+	if answer.GetLast() {
+		return nil
+	}
+	return http.NewResponseController(c.w).Flush()
+}
+
+func (c *call) writeHead(answer *wire.CallAnswer) {
+	c.started = true
+	header := c.w.Header()
+	for _, h := range answer.GetHeaders() {
+		header.Add(h.GetName(), h.GetValue())
+	}
+	header.Set(verdict.Header, string(verdict.FromWire(answer.GetVerdict())))
+	header.Set(versionHeader, c.request.GetVersion())
+	header.Set(sequenceHeader, strconv.FormatUint(c.request.GetSequence(), 10))
+	c.w.WriteHeader(int(answer.GetStatus()))
+}
--- a/pkg/request/entry.go
+++ b/pkg/request/entry.go
@@ -3,17 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-
-	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fleet"
 	"github.com/hibiscusrock/hibiscusrock/pkg/peer"
@@ -24,25 +19,37 @@
 )
 
 const (
-	mostAttempts   = 5
 	firstBackoff   = 5 * time.Millisecond
 	largestBackoff = 100 * time.Millisecond
-	hopAllowance   = 5 * time.Millisecond
+	// maxProbes bounds the owner nodes that are asked for a shorter wait.
+	maxProbes = 4
+	// maxRefusals bounds the owner nodes that refuse one request without work.
+	maxRefusals = 8
+	// hopAllowance is the time in which an owner's verdict at the deadline
+	// still reaches the entry node.
+	hopAllowance = 20 * time.Millisecond
+	// freshReport is the age up to which an owner's report decides a refusal by
+	// the entry node itself.
+	freshReport = 200 * time.Millisecond
 	// avoidTime covers the time in which the membership finds a dead node.
-	avoidTime        = 2 * time.Second
-	sequenceHeader   = "Hibiscusrock-Sequence"
-	versionHeader    = "Hibiscusrock-Version"
-	largestIdemBytes = 256
+	avoidTime = 2 * time.Second
+	// Bounds of Retry-After: sooner than the shortest nothing has changed; an
+	// unknown cause is tried again after the default.
+	shortestRetryAfter = 50 * time.Millisecond
+	defaultRetryAfter  = 300 * time.Millisecond
+	sequenceHeader     = "Hibiscusrock-Sequence"
+	versionHeader      = "Hibiscusrock-Version"
+	largestIdemBytes   = 256
 )
 
 // EntryHooks are the entry's views of the rest of the node.
 type EntryHooks struct {
 	// Table returns the table in force, or nil.
 	Table func() *routing.Table
-	// Permille returns the share of the new version of a move in this data centre.
-	Permille func(move *wire.Move) int
-	// Halted reports whether a version of a service was taken back.
-	Halted func(service, version string) bool
+	// Shares returns the versions of a service with their shares of its traffic.
+	Shares func(table *routing.Table, service string) routing.Shares
+	// Standby returns a version to use when no other has a backend server, or "".
+	Standby func(table *routing.Table, service string) string
 	// Address returns the peer address of a node.
 	Address func(node string) (string, bool)
 	// CallPeer runs a request on another node.
@@ -52,29 +59,48 @@
 // Entry serves callers.
 type Entry struct {
 	*common.Common
-	node   string
-	owner  *Owner
-	ward   *quarantine.Ward
-	picker *routing.Picker
-	budget *Budget
-	hooks  EntryHooks
-	random func(n int) int
+	node    string
+	caller  string
+	headers Headers
+	owner   *Owner
+	ward    *quarantine.Ward
+	picker  *routing.Picker
+	spread  *routing.Spread
+	budget  *Budget
+	hooks   EntryHooks
 
 	stopping atomic.Bool
 }
 
+// EntryOption changes an Entry under construction.
+type EntryOption func(*Entry)
+
+// WithHeaders sets the names of the headers.
+func WithHeaders(h Headers) EntryOption { return func(e *Entry) { e.headers = h } }
+
+// WithCaller names the service of this host, which is the caller of all requests.
+func WithCaller(service string) EntryOption { return func(e *Entry) { e.caller = service } }
+
+// WithBudget sets the budget for retries.
+func WithBudget(b *Budget) EntryOption { return func(e *Entry) { e.budget = b } }
+
 // NewEntry returns an entry that runs requests for its own host on owner.
-func NewEntry(cm *common.Common, node string, owner *Owner, ward *quarantine.Ward, picker *routing.Picker, hooks EntryHooks) *Entry {
-	return &Entry{
-		Common: cm,
-		node:   node,
-		owner:  owner,
-		ward:   ward,
-		picker: picker,
-		budget: NewBudget(cm.Now),
-		hooks:  hooks,
-		random: rand.IntN,
-	}
+func NewEntry(cm *common.Common, node string, owner *Owner, ward *quarantine.Ward, picker *routing.Picker, hooks EntryHooks, opts ...EntryOption) *Entry {
+	e := &Entry{
+		Common:  cm,
+		node:    node,
+		headers: DefaultHeaders(),
+		owner:   owner,
+		ward:    ward,
+		picker:  picker,
+		spread:  routing.NewSpread(rand.IntN),
+		budget:  NewBudget(cm.Now),
+		hooks:   hooks,
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
 }
 
 // ServeHTTP implements http.Handler.
@@ -88,118 +114,40 @@
 		return
 	}
 	e.Count(`hibiscusrock_refusals_total{reason="` + string(refusal.Reason()) + `",verdict="` + string(refusal.Verdict()) + `"}`)
+	e.logRefusal(r, c, refusal)
 	if c != nil && c.started {
 		// A part of the answer is with the caller already; a broken
 		// connection is the only way to say that the rest is missing.
 		panic(http.ErrAbortHandler)
 	}
-	refusal.Write(w)
+	e.refuse(w, refusal)
 }
 
-// call is one caller's request.
-type call struct {
-	w        http.ResponseWriter
-	ctx      context.Context
-	table    *routing.Table
-	route    *bundle.Route
-	service  *bundle.Service
-	deadline time.Time
-	request  *wire.CallRequest
-	tried    []*fleet.Endpoint
-	excluded []string
-	crashes  int
-	// started is set once the head of the answer has gone to the caller.
-	started bool
-	// mayHaveRun is set once an attempt ended without a verdict of not run.
-	mayHaveRun bool
-}
-
-func (e *Entry) newCall(w http.ResponseWriter, r *http.Request) (*call, *verdict.Refusal) {
-	if e.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	table := e.hooks.Table()
-	if table == nil {
-		return nil, verdict.Refuse(verdict.NotRun, verdict.NoBundle)
-	}
-	route := table.Match(r.Host, r.Method, r.URL.Path)
-	if route == nil {
-		return nil, verdict.Refuse(verdict.NotRun, verdict.NoRoute)
-	}
-	service := table.Service(route.Service)
-	if service == nil {
-		return nil, verdict.Refuse(verdict.NotRun, verdict.UnknownService)
-	}
-	body, refusal := readBody(w, r, route.MaxBodyBytes)
-	if refusal != nil {
-		return nil, refusal
-	}
-	c := &call{w: w, ctx: r.Context(), table: table, route: route, service: service}
-	c.deadline = e.Now().Add(callTimeout(r, route))
-	c.request = newCallRequest(r, route, body)
-	c.request.Sequence = table.Sequence()
-	if e.ward.Blocked(c.request.GetFingerprint()) {
-		return nil, verdict.Refuse(verdict.NotRun, verdict.CrashCausing)
-	}
-	return c, nil
-}
-
-func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *verdict.Refusal) {
-	if r.ContentLength == 0 {
-		return nil, nil
+// refuse answers a caller. A refusal that promises that the request has not
+// run names the time after which it has a chance again.
+func (e *Entry) refuse(w http.ResponseWriter, refusal *verdict.Refusal) {
+	status := refusal.Status()
+	if e.headers.Promise {
+		status = refusal.PromisedStatus()
 	}
-	if r.ContentLength > int64(limit) {
-		return nil, verdict.Refuse(verdict.NotRun, verdict.BodyTooLarge)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", e.headers.retryAfter(spreadOut(refusal.Wait())))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, verdict.Refuse(verdict.NotRun, verdict.BodyTooLarge)
-	}
-	if err != nil {
-		return nil, verdict.Refuse(verdict.NotRun, verdict.BodyUnreadable)
-	}
-	return body, nil
+	refusal.WriteStatus(w, status)
 }
 
-// callTimeout returns the route's timeout, or the caller's if that is shorter.
-func callTimeout(r *http.Request, route *bundle.Route) time.Duration {
-	timeout := route.Timeout()
-	ms, err := strconv.ParseInt(r.Header.Get(remainingHeader), 10, 64)
-	if err == nil && ms > 0 {
-		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
-	}
-	return timeout
-}
-
-func newCallRequest(r *http.Request, route *bundle.Route, body []byte) *wire.CallRequest {
-	key := r.Header.Get(idempotencyHeader)
-	if len(key) > largestIdemBytes {
-		key = key[:largestIdemBytes]
-	}
-	target := r.URL.RequestURI()
-	in := &wire.CallRequest{
-		Service:        route.Service,
-		Route:          route.Name,
-		Method:         r.Method,
-		Target:         target,
-		Host:           r.Host,
-		Headers:        encodeHeaders(r.Header),
-		Body:           body,
-		Idempotent:     route.IsIdempotent(r.Method),
-		IdempotencyKey: key,
-		Nonce:          uuid.NewString(),
-		Fingerprint:    quarantine.Fingerprint(route.Service, key, r.Method, target, body),
-	}
-	for _, status := range route.ShedStatuses {
-		in.ShedStatuses = append(in.ShedStatuses, int32(status))
-	}
-	return in
+// spreadOut returns a time after which callers come back one after another.
+func spreadOut(wait time.Duration) time.Duration {
+	if wait <= 0 {
+		wait = defaultRetryAfter
+	}
+	wait = max(wait, shortestRetryAfter)
+	return wait + time.Duration(rand.Int64N(int64(wait)))
 }
 
 // attempt tries backend servers until one answers or no retry is allowed.
 func (e *Entry) attempt(c *call) *verdict.Refusal {
-	e.budget.Earn(c.route.Service, c.service.RetryPercent)
+	e.budget.Earn(c.request.GetService(), c.service.RetryPercent)
 	backoff := firstBackoff
 	var last *verdict.Refusal
 	for n := 1; ; n++ {
@@ -208,30 +156,35 @@
 			return nil
 		}
 		if last != nil && refusal.Reason() == verdict.NoBackendServer {
-			return c.conclude(last)
+			return e.giveUp(c, last)
 		}
 		last = refusal
 		c.mayHaveRun = c.mayHaveRun || refusal.Verdict() != verdict.NotRun
-		if n == mostAttempts || !e.mayRetry(c, refusal) {
-			return c.conclude(refusal)
+		if !e.mayRetry(c, refusal) {
+			return e.giveUp(c, refusal)
 		}
 		e.Count(`hibiscusrock_retries_total{reason="` + string(refusal.Reason()) + `"}`)
-		if n == 1 {
+		e.logRetry(c, refusal, n)
+		if n == 1 || refusal.Reason() == verdict.Busy {
 			continue
 		}
 		if !common.Sleep(c.ctx, time.Duration(rand.Int64N(int64(backoff)))) {
-			return c.conclude(refusal)
+			return e.giveUp(c, refusal)
 		}
 		backoff = min(2*backoff, largestBackoff)
 	}
 }
 
-// conclude returns the refusal with a verdict that holds for all attempts.
-func (c *call) conclude(refusal *verdict.Refusal) *verdict.Refusal {
-	if c.mayHaveRun && refusal.Verdict() == verdict.NotRun {
-		return verdict.Refuse(verdict.Unknown, refusal.Reason())
+// giveUp passes on the failure that a backend server answered with, if there
+// is one, and else the refusal.
+func (e *Entry) giveUp(c *call, refusal *verdict.Refusal) *verdict.Refusal {
+	if c.failed == nil || c.started {
+		return c.conclude(refusal)
 	}
-	return refusal
+	if err := c.pass(c.failed); err != nil {
+		return verdict.Refuse(verdict.Ran, verdict.CallerGone)
+	}
+	return nil
 }
 
 // mayRetry decides whether a refused request may go to another backend server.
@@ -240,18 +193,20 @@
 		return false
 	}
 	switch refusal.Reason() {
-	case verdict.NoBackendServer, verdict.CrashCausing, verdict.ClaimMismatch, verdict.ClaimsUnavailable, verdict.CallerGone:
+	case verdict.NoBackendServer, verdict.CrashCausing, verdict.ClaimMismatch, verdict.ClaimsUnavailable, verdict.CallerGone, verdict.Overloaded:
 		return false
+	case verdict.Busy:
+		return true
 	case verdict.Draining, verdict.UnknownInstance, verdict.VersionHalted, verdict.BackendFailing, verdict.Stopping, verdict.PeerUnreachable:
 		// These refusals cost no backend server any work.
-		return true
+		return len(c.tried) < maxRefusals
 	case verdict.BackendCrashed:
 		c.crashes++
 	}
 	if refusal.Verdict() != verdict.NotRun && !c.request.GetIdempotent() {
 		return false
 	}
-	if c.crashes >= quarantine.CrashLimit || !e.budget.Spend(c.route.Service) {
+	if c.crashes >= quarantine.CrashLimit || c.reached >= c.maxAttempts() || !e.budget.Spend(c.request.GetService()) {
 		e.Count(`hibiscusrock_retries_denied_total`)
 		return false
 	}
@@ -261,71 +216,104 @@
 // try sends the request to one backend server. It returns nil once the answer
 // has gone to the caller.
 func (e *Entry) try(c *call) *verdict.Refusal {
-	endpoint, version := e.choose(c)
-	if endpoint == nil {
+	choice, version, ok := e.choose(c)
+	if !ok {
 		return verdict.Refuse(verdict.NotRun, verdict.NoBackendServer)
 	}
-	c.tried = append(c.tried, endpoint)
+	now := e.Now()
+	left := c.deadline.Sub(now)
+	if left <= 0 {
+		return verdict.Refuse(verdict.NotRun, verdict.DeadlinePassed)
+	}
+	if late := choice.Expected - left; late > 0 && choice.State.Age >= 0 && choice.State.Age < freshReport {
+		return verdict.Refuse(verdict.NotRun, verdict.Overloaded).RetryAfter(late)
+	}
+	endpoint := choice.Endpoint
 	in := c.request
 	in.Version = version
 	in.Instance = endpoint.Record().GetInstance()
-	in.RemainingMs = c.deadline.Sub(e.Now()).Milliseconds()
-	if in.GetRemainingMs() <= 0 {
-		return verdict.Refuse(verdict.NotRun, verdict.DeadlinePassed)
-	}
-	endpoint.Begin()
-	defer endpoint.End()
+	in.RemainingMs = left.Milliseconds()
+	in.ObjectiveMs = c.objective.Sub(now).Milliseconds()
+	in.Repeated = c.reached > 0
+	in.MaxWaitMicros = 0
+	if c.probes < maxProbes {
+		in.MaxWaitMicros = choice.MaxWait.Microseconds()
+	}
+	endpoint.Observed().Begin()
 	refusal := e.send(c, endpoint)
+	endpoint.Observed().End()
+	return e.settle(c, endpoint, version, refusal)
+}
+
+// settle notes what a refusal says of the endpoint.
+func (e *Entry) settle(c *call, endpoint *fleet.Endpoint, version string, refusal *verdict.Refusal) *verdict.Refusal {
 	if refusal == nil {
 		return nil
 	}
+	if refusal.Reason() == verdict.Busy {
+		c.probes++
+		return refusal
+	}
+	c.tried = append(c.tried, endpoint)
+	if refusal.ReachedBackend() {
+		c.reached++
+	}
 	switch refusal.Reason() {
 	case verdict.VersionHalted, verdict.BackendFailing:
 		c.excluded = append(c.excluded, version)
-	case verdict.PeerUnreachable:
-		endpoint.Avoid(e.Now().Add(avoidTime))
+	case verdict.PeerUnreachable, verdict.PeerSilent:
+		endpoint.Observed().Avoid(e.Now().Add(avoidTime))
 	}
 	return refusal
 }
 
 // choose picks a version by share and a backend server of it. Versions without
-// a backend server are left out; the target of a move stands in at last.
-func (e *Entry) choose(c *call) (*fleet.Endpoint, string) {
-	name := c.route.Service
-	move := c.table.Move(name)
-	halted := func(version string) bool { return e.hooks.Halted(name, version) }
-	permille := 0
-	if move != nil {
-		permille = e.hooks.Permille(move)
-	}
-	shares := routing.CurrentShares(c.service, move, permille, halted)
+// a backend server are left out; the standby version comes last.
+func (e *Entry) choose(c *call) (routing.Choice, string, bool) {
+	name := c.request.GetService()
+	need := routing.Need{Service: name, Kind: c.route.Name, Objective: c.route.Objective()}
+	shares := e.hooks.Shares(c.table, name)
 	excluded := slices.Clone(c.excluded)
 	for {
-		version := shares.Version(e.random, excluded)
-		if version == "" {
+		need.Version = e.chooseVersion(c, shares, excluded)
+		if need.Version == "" {
 			break
 		}
-		if endpoint := e.picker.Pick(name, version, c.tried); endpoint != nil {
-			return endpoint, version
+		if choice, ok := e.picker.Pick(need, c.tried); ok {
+			return choice, need.Version, true
 		}
-		excluded = append(excluded, version)
+		excluded = append(excluded, need.Version)
 	}
-	if move == nil || halted(move.GetTo()) {
-		return nil, ""
+	need.Version = e.hooks.Standby(c.table, name)
+	if need.Version == "" {
+		return routing.Choice{}, "", false
 	}
-	return e.picker.Pick(name, move.GetTo(), c.tried), move.GetTo()
+	choice, ok := e.picker.Pick(need, c.tried)
+	return choice, need.Version, ok
+}
+
+// chooseVersion chooses by share. A request that was told to look elsewhere
+// for a shorter wait stays with its version.
+func (e *Entry) chooseVersion(c *call, shares routing.Shares, excluded []string) string {
+	version := c.request.GetVersion()
+	if c.probes > 0 && len(c.tried) == 0 && shares[version] > 0 && !slices.Contains(excluded, version) {
+		return version
+	}
+	return e.spread.Choose("service "+c.request.GetService(), shares.Alternatives(excluded))
 }
 
 // send runs the request on the endpoint's node and passes the answer on.
 func (e *Entry) send(c *call, endpoint *fleet.Endpoint) *verdict.Refusal {
 	ctx, cancel := context.WithDeadline(c.ctx, c.deadline.Add(hopAllowance))
 	defer cancel()
-	started := e.Now()
 	var refusal *verdict.Refusal
 	received := func(answer *wire.CallAnswer) error {
+		if answer.GetProgress() {
+			return nil
+		}
 		if !c.started {
-			endpoint.Observe(answer.GetInFlight(), e.Now().Sub(started).Microseconds())
-			if refusal = refusalOf(answer); refusal != nil {
+			endpoint.Observed().Observe(e.Now(), c.route.Name, reportOf(answer))
+			if refusal = e.refusalOf(c, answer); refusal != nil {
 				return nil
 			}
 		}
@@ -338,6 +326,16 @@
 	return e.judgeError(ctx, c, err)
 }
 
+func reportOf(answer *wire.CallAnswer) fleet.Report {
+	const permille = 1000
+	return fleet.Report{
+		Busy:    int(answer.GetInFlight()),
+		Wait:    time.Duration(answer.GetWaitMicros()) * time.Microsecond,
+		Work:    time.Duration(answer.GetWorkMicros()) * time.Microsecond,
+		Failing: float64(answer.GetFailingPermille()) / permille,
+	}
+}
+
 func (e *Entry) dispatch(ctx context.Context, node string, in *wire.CallRequest, received func(*wire.CallAnswer) error) error {
 	if node == e.node {
 		return e.owner.Serve(ctx, in, received)
@@ -358,42 +356,26 @@
 		return verdict.Refuse(verdict.Unknown, verdict.CallerGone)
 	case ctx.Err() != nil:
 		return verdict.Refuse(verdict.Unknown, verdict.DeadlinePassed)
+	case errors.Is(err, peer.ErrSilent):
+		return verdict.Refuse(verdict.Unknown, verdict.PeerSilent)
 	}
 	return verdict.Refuse(verdict.Unknown, verdict.AnswerLost)
 }
 
-// refusalOf returns the refusal that an owner's first chunk carries, or nil.
-func refusalOf(answer *wire.CallAnswer) *verdict.Refusal {
-	if answer.GetReason() == "" {
-		return nil
-	}
-	return verdict.Refuse(verdict.FromWire(answer.GetVerdict()), verdict.Reason(answer.GetReason()))
-}
-
-// pass writes a chunk of the answer to the caller.
-func (c *call) pass(answer *wire.CallAnswer) error {
-	if !c.started {
-		c.writeHead(answer)
-	}
-	if _, err := c.w.Write(answer.GetBody()); err != nil {
-		return err
-	}
-	if answer.GetLast() {
-		return nil
-	}
-	return http.NewResponseController(c.w).Flush()
-}
-
-func (c *call) writeHead(answer *wire.CallAnswer) {
-	c.started = true
-	header := c.w.Header()
-	for _, h := range answer.GetHeaders() {
-		header.Add(h.GetName(), h.GetValue())
-	}
-	header.Set(verdict.Header, string(verdict.FromWire(answer.GetVerdict())))
-	header.Set(versionHeader, c.request.GetVersion())
-	header.Set(sequenceHeader, strconv.FormatUint(c.request.GetSequence(), 10))
-	c.w.WriteHeader(int(answer.GetStatus()))
+// refusalOf returns the refusal that an owner's first chunk carries, or nil. A
+// backend server's own failure of an idempotent request counts as one while
+// another backend server may be tried.
+func (e *Entry) refusalOf(c *call, answer *wire.CallAnswer) *verdict.Refusal {
+	if answer.GetReason() != "" {
+		wait := time.Duration(answer.GetRetryAfterMs()) * time.Millisecond
+		return verdict.Refuse(verdict.FromWire(answer.GetVerdict()), verdict.Reason(answer.GetReason())).RetryAfter(wait)
+	}
+	mayTryAgain := c.request.GetIdempotent() && answer.GetLast() && c.reached+1 < c.maxAttempts()
+	if answer.GetStatus() >= statusServerFailure && mayTryAgain {
+		c.failed = answer
+		return verdict.Refuse(verdict.Ran, verdict.BackendError)
+	}
+	return nil
 }
 
 // BeginStop asks callers to open no more requests on their connections.
--- a/pkg/request/entry_test.go
+++ b/pkg/request/entry_test.go
@@ -59,8 +59,8 @@
 	attempts := 0
 	hooks := EntryHooks{
 		Table:    func() *routing.Table { return table },
-		Permille: func(*wire.Move) int { return 0 },
-		Halted:   func(string, string) bool { return false },
+		Shares:   func(*routing.Table, string) routing.Shares { return routing.Shares{"v1": bundle.FullPermille} },
+		Standby:  func(*routing.Table, string) string { return "" },
 		Address:  func(node string) (string, bool) { return node, true },
 		CallPeer: func(_ context.Context, _ string, _ *wire.CallRequest, received func(*wire.CallAnswer) error) error {
 			r := replies[min(attempts, len(replies)-1)]
--- a/pkg/request/owner.go
+++ b/pkg/request/owner.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -19,56 +17,26 @@
 )
 
 const (
-	chunkBytes     = 64 << 10
-	connectTimeout = time.Second
-	// Idle connections to backend servers are closed soon, because one that the
-	// network lost track of answers nothing.
-	backendIdleTimeout  = time.Second
-	backendIdlePerHost  = 64
+	chunkBytes = 64 << 10
+	// wholeBytes is the length up to which an answer is read whole before it is
+	// passed on, so that one that breaks off never begins.
+	wholeBytes          = 256 << 10
 	crashProbeTimeout   = 50 * time.Millisecond
 	crashProbeDelay     = 20 * time.Millisecond
 	crashProbes         = 2
-	remainingHeader     = "Hibiscusrock-Remaining-Ms"
-	requestIDHeader     = "Hibiscusrock-Request-Id"
 	idempotencyHeader   = "Idempotency-Key"
 	statusServerFailure = 500
 )
 
-// Backend is one backend server on this node's host.
-type Backend struct {
-	mu       sync.Mutex
-	record   *wire.Endpoint
-	lastSeen time.Time
-	life     uint64
-	// firstRun and runs tell a cold backend server from a warm one.
-	firstRun time.Time
-	runs     int
-
-	gate    *admission.Gate
-	breaker *admission.Breaker
-}
-
-// Record returns the backend server as last announced.
-func (b *Backend) Record() *wire.Endpoint {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.record
-}
-
-// Gate returns the backend server's admission gate.
-func (b *Backend) Gate() *admission.Gate { return b.gate }
-
 // Owner runs requests on the backend servers of this node's host.
 type Owner struct {
 	*common.Common
+	headers  Headers
 	recorder *rollout.Recorder
 	ward     *quarantine.Ward
 	claims   *booking.Claims
 	hooks    OwnerHooks
 
-	reused *http.Client
-	fresh  *http.Client
-
 	mu       sync.RWMutex
 	backends map[string]*Backend
 	running  *drain
@@ -78,7 +46,7 @@
 type OwnerHooks struct {
 	// QueueLength returns the queue length of a service.
 	QueueLength func(service string) int
-	// Halted reports whether a version of a service was taken back.
+	// Halted reports whether a version of a service takes no requests.
 	Halted func(service, version string) bool
 	// Moving reports whether a version is the new one of a move.
 	Moving func(service, version string) bool
@@ -86,39 +54,43 @@
 	Announce func(*wire.Endpoint)
 }
 
+// OwnerOption changes an Owner under construction.
+type OwnerOption func(*Owner)
+
+// WithOwnerHeaders sets the names of the headers.
+func WithOwnerHeaders(h Headers) OwnerOption { return func(o *Owner) { o.headers = h } }
+
+// WithClaims lets requests with an idempotency key run at most once over resends.
+func WithClaims(c *booking.Claims) OwnerOption { return func(o *Owner) { o.claims = c } }
+
 // NewOwner returns an owner without backend servers, and its clean-up function.
-func NewOwner(cm *common.Common, recorder *rollout.Recorder, ward *quarantine.Ward, claims *booking.Claims, hooks OwnerHooks) (*Owner, func()) {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	reused := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: backendIdlePerHost,
-		IdleConnTimeout:     backendIdleTimeout,
-		DisableCompression:  true,
-	}
-	// A request that must not run twice gets a connection of its own: the
-	// library resends a request whose reused connection turns out to be closed.
-	fresh := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+func NewOwner(cm *common.Common, recorder *rollout.Recorder, ward *quarantine.Ward, hooks OwnerHooks, opts ...OwnerOption) (*Owner, func()) {
 	o := &Owner{
 		Common:   cm,
+		headers:  DefaultHeaders(),
 		recorder: recorder,
 		ward:     ward,
-		claims:   claims,
 		hooks:    hooks,
-		reused:   &http.Client{Transport: reused, CheckRedirect: useLastResponse},
-		fresh:    &http.Client{Transport: fresh, CheckRedirect: useLastResponse},
 		backends: make(map[string]*Backend),
 		running:  newDrain(),
 	}
-	return o, reused.CloseIdleConnections
+	for _, opt := range opts {
+		opt(o)
+	}
+	return o, o.closeBackends
 }
 
-func useLastResponse(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+func (o *Owner) closeBackends() {
+	for _, b := range o.Backends() {
+		b.close()
+	}
+}
 
 // Serve runs a request and passes its answer on in chunks. It returns an error
 // when the answer broke off after its head had been passed on.
 func (o *Owner) Serve(ctx context.Context, in *wire.CallRequest, send func(*wire.CallAnswer) error) error {
 	if !o.running.enter() {
-		return o.sendRefusal(verdict.Refuse(verdict.NotRun, verdict.Stopping), 0, send)
+		return o.sendRefusal(nil, in, verdict.Refuse(verdict.NotRun, verdict.Stopping), send)
 	}
 	defer o.running.leave()
 	deadline := o.Now().Add(time.Duration(in.GetRemainingMs()) * time.Millisecond)
@@ -128,13 +100,15 @@
 	if refusal == nil {
 		return o.admit(ctx, b, in, deadline, send)
 	}
-	return o.sendRefusal(refusal, 0, send)
+	return o.sendRefusal(nil, in, refusal, send)
 }
 
-func (o *Owner) sendRefusal(refusal *verdict.Refusal, inFlight int, send func(*wire.CallAnswer) error) error {
+func (o *Owner) sendRefusal(b *Backend, in *wire.CallRequest, refusal *verdict.Refusal, send func(*wire.CallAnswer) error) error {
 	o.Count(`hibiscusrock_owner_refusals_total{reason="` + string(refusal.Reason()) + `"}`)
 	answer := refusal.ToWire()
-	answer.InFlight = int32(inFlight)
+	if b != nil {
+		b.report(o.workOf(in, o.Now()), answer)
+	}
 	return send(answer)
 }
 
@@ -162,14 +136,31 @@
 	return b, nil
 }
 
+// workOf describes a request to the gate.
+func (o *Owner) workOf(in *wire.CallRequest, now time.Time) admission.Work {
+	w := admission.Work{
+		Kind:     in.GetRoute(),
+		Priority: int(in.GetPriority()),
+		Deadline: now.Add(time.Duration(in.GetRemainingMs()) * time.Millisecond),
+		MaxWait:  time.Duration(in.GetMaxWaitMicros()) * time.Microsecond,
+	}
+	if in.GetObjectiveMs() != 0 {
+		w.Objective = now.Add(time.Duration(in.GetObjectiveMs()) * time.Millisecond)
+	}
+	return w
+}
+
 func (o *Owner) admit(ctx context.Context, b *Backend, in *wire.CallRequest, deadline time.Time, send func(*wire.CallAnswer) error) error {
-	leave, refusal := b.gate.Acquire(ctx, deadline)
+	work := o.workOf(in, o.Now())
+	leave, refusal := b.gate.Acquire(ctx, work)
 	if refusal != nil {
-		return o.sendRefusal(refusal, b.gate.InFlight(), send)
+		return o.sendRefusal(b, in, refusal, send)
 	}
-	run := &run{owner: o, backend: b, record: b.Record(), in: in, send: send}
+	run := &run{owner: o, backend: b, record: b.Record(), in: in, work: work, deadline: deadline, send: send}
 	defer func() { leave(run.outcome) }()
-	if in.GetIdempotent() || in.GetIdempotencyKey() == "" {
+	ctx, cancel := b.untilDown(ctx, in.GetIdempotent())
+	defer cancel()
+	if o.claims == nil || in.GetIdempotent() || in.GetIdempotencyKey() == "" {
 		return run.do(ctx)
 	}
 	return o.runClaimed(ctx, run)
@@ -179,7 +170,7 @@
 	in := run.in
 	claim, kept, refusal := o.claims.Acquire(ctx, in.GetService(), in.GetIdempotencyKey(), in.GetNonce(), bodyFingerprint(in))
 	if refusal != nil {
-		return o.sendRefusal(refusal, run.backend.gate.InFlight(), run.send)
+		return o.sendRefusal(run.backend, in, refusal, run.send)
 	}
 	if kept != nil {
 		answer := &wire.CallAnswer{Verdict: wire.Verdict_VERDICT_RAN, Status: kept.GetStatus(), Headers: kept.GetHeaders(), Body: kept.GetBody(), Last: true}
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -1,114 +1,147 @@
 package request
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/admission"
+	"github.com/hibiscusrock/hibiscusrock/pkg/backend"
 	"github.com/hibiscusrock/hibiscusrock/pkg/booking"
 	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
-var errCrossed = errors.New("the answer belongs to another request")
+// maxCrossed bounds the answers to other requests that are dropped before the
+// connection is given up.
+const maxCrossed = 4
+
+var errCrossed = errors.New("the answers belong to other requests")
 
 // run is one request on one backend server.
 type run struct {
-	owner   *Owner
-	backend *Backend
-	record  *wire.Endpoint
-	in      *wire.CallRequest
-	send    func(*wire.CallAnswer) error
-	claim   *booking.Claim
-	outcome admission.Outcome
-	cold    bool
-	id      string
-	// connected is set once bytes may have reached the backend server.
-	connected atomic.Bool
+	owner    *Owner
+	backend  *Backend
+	record   *wire.Endpoint
+	in       *wire.CallRequest
+	work     admission.Work
+	deadline time.Time
+	send     func(*wire.CallAnswer) error
+	claim    *booking.Claim
+	outcome  admission.Outcome
+	cold     bool
+	id       string
 }
 
 func (r *run) do(ctx context.Context) error {
 	life := r.backend.currentLife()
 	started := r.owner.Now()
 	r.cold = r.backend.isCold(started)
-	resp, err := r.ownAnswer(ctx)
+	answer, err := r.ownAnswer(ctx)
 	if err != nil {
-		return r.fail(ctx, life, started)
+		return r.fail(ctx, err, life, started)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if slices.Contains(r.in.GetShedStatuses(), int32(resp.StatusCode)) {
+	defer answer.Close()
+	if r.isShed(answer) {
 		r.outcome = admission.Overloaded
+		r.backend.health.add(true)
 		return r.notRun(verdict.BackendShed)
 	}
-	failed := resp.StatusCode >= statusServerFailure
+	return r.deliver(ctx, answer, life, started)
+}
+
+// deliver passes an answer on. One of moderate length is read whole first.
+func (r *run) deliver(ctx context.Context, answer *backend.Answer, life string, started time.Time) error {
+	failed := answer.Status() >= statusServerFailure
+	if answer.Length() > wholeBytes && r.claim == nil {
+		r.finish(failed, r.owner.Now().Sub(started))
+		return r.stream(answer)
+	}
+	body, err := io.ReadAll(answer)
+	if err != nil {
+		r.owner.Count(`hibiscusrock_answers_cut_total`)
+		return r.fail(ctx, err, life, started)
+	}
 	r.finish(failed, r.owner.Now().Sub(started))
-	err = r.passAnswer(resp)
-	if err == nil && !failed {
+	if !failed {
 		r.owner.ward.Succeeded(r.in.GetFingerprint())
 	}
-	return err
+	head := r.head(answer)
+	if r.claim != nil {
+		r.claim.Finish(head.GetStatus(), head.GetHeaders(), body)
+	}
+	return r.sendWhole(head, body)
+}
+
+func (r *run) isShed(answer *backend.Answer) bool {
+	if slices.Contains(r.in.GetShedStatuses(), int32(answer.Status())) {
+		return true
+	}
+	name := r.owner.headers.NotRun
+	if name == "" {
+		return false
+	}
+	return answer.Header().Get(name) != "" || answer.Status() == http.StatusMisdirectedRequest
 }
 
-// ownAnswer returns the head of the answer to this request. An answer to
-// another request, left over on a reused connection, is dropped, and an
-// idempotent request goes out once more on a connection of its own.
-func (r *run) ownAnswer(ctx context.Context) (*http.Response, error) {
-	client := r.owner.fresh
-	if r.in.GetIdempotent() {
-		client = r.owner.reused
-	}
-	resp, err := r.roundTrip(ctx, client)
-	if err != nil || r.isOwn(resp) {
-		return resp, err
-	}
-	r.owner.Count(`hibiscusrock_answers_crossed_total`)
-	_ = resp.Body.Close()
-	if client == r.owner.fresh {
-		return nil, errCrossed
-	}
-	resp, err = r.roundTrip(ctx, r.owner.fresh)
-	if err == nil && !r.isOwn(resp) {
-		_ = resp.Body.Close()
-		return nil, errCrossed
-	}
-	return resp, err
+// ownAnswer returns the head of the answer to this request. Answers to other
+// requests, left over on a reused connection, are dropped.
+func (r *run) ownAnswer(ctx context.Context) (*backend.Answer, error) {
+	answer, err := r.backend.client.Do(ctx, r.newRequest())
+	for crossed := 0; err == nil; crossed++ {
+		if r.isOwn(answer) {
+			return answer, nil
+		}
+		r.owner.Count(`hibiscusrock_answers_crossed_total`)
+		if crossed == maxCrossed {
+			answer.Close()
+			return nil, errCrossed
+		}
+		answer, err = answer.Next()
+	}
+	return nil, err
 }
 
 // isOwn reports whether an answer belongs to this request, as far as the
 // backend server repeats the request's identifier.
-func (r *run) isOwn(resp *http.Response) bool {
-	id := resp.Header.Get(requestIDHeader)
+func (r *run) isOwn(answer *backend.Answer) bool {
+	id := answer.Header().Get(r.owner.headers.RequestID)
 	return id == "" || id == r.id
 }
 
-func (r *run) roundTrip(ctx context.Context, client *http.Client) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { r.connected.Store(true) }}
-	url := "http://" + r.record.GetAddress() + r.in.GetTarget()
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.in.GetMethod(), url, bytes.NewReader(r.in.GetBody()))
-	if err != nil {
-		return nil, err
+func (r *run) newRequest() *backend.Request {
+	h := r.owner.headers
+	r.id = r.in.GetRequestId()
+	if !h.KeepRequestID {
+		r.id = uuid.NewString()
 	}
-	for _, h := range r.in.GetHeaders() {
-		req.Header.Add(h.GetName(), h.GetValue())
+	left := max(r.deadline.Sub(r.owner.Now()), time.Millisecond)
+	headers := slices.Clone(r.in.GetHeaders())
+	for _, own := range []wire.Header{
+		{Name: h.RequestID, Value: r.id},
+		{Name: h.RemainingMS, Value: strconv.FormatInt(left.Milliseconds(), 10)},
+		{Name: h.Caller, Value: r.in.GetCaller()},
+		{Name: h.Expect, Value: r.record.GetInstance()},
+	} {
+		if own.GetName() != "" && own.GetValue() != "" {
+			headers = append(headers, &wire.Header{Name: own.GetName(), Value: own.GetValue()})
+		}
 	}
-	req.Host = r.in.GetHost()
-	r.id = uuid.NewString()
-	req.Header.Set(requestIDHeader, r.id)
-	if deadline, ok := ctx.Deadline(); ok {
-		req.Header.Set(remainingHeader, strconv.FormatInt(deadline.Sub(r.owner.Now()).Milliseconds(), 10))
+	return &backend.Request{
+		Method: r.in.GetMethod(),
+		Target: r.in.GetTarget(),
+		Host:   r.in.GetHost(),
+		Header: headers,
+		Body:   r.in.GetBody(),
+		Once:   !r.in.GetIdempotent(),
 	}
-	return client.Do(req)
 }
 
 // finish records an outcome that the backend server itself gave.
@@ -119,11 +152,12 @@
 	}
 	r.owner.recorder.Record(r.in.GetService(), r.in.GetVersion(), r.in.GetRoute(), failed, r.cold, took)
 	r.backend.breaker.Record(failed)
+	r.backend.health.add(failed)
 }
 
 // fail gives the verdict on a request whose answer did not arrive.
-func (r *run) fail(ctx context.Context, life string, started time.Time) error {
-	if !r.connected.Load() {
+func (r *run) fail(ctx context.Context, err error, life string, started time.Time) error {
+	if errors.Is(err, backend.ErrNotSent) {
 		r.outcome = admission.Failed
 		if ctx.Err() == nil {
 			r.owner.markDown(r.backend)
@@ -132,6 +166,8 @@
 	}
 	took := r.owner.Now().Sub(started)
 	switch {
+	case r.backend.isDown():
+		return r.unknown(verdict.BackendCrashed)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return r.unknown(verdict.CallerGone)
 	case ctx.Err() != nil:
@@ -154,11 +190,11 @@
 	if r.claim != nil {
 		r.claim.Release()
 	}
-	return r.owner.sendRefusal(verdict.Refuse(verdict.NotRun, reason), r.backend.gate.InFlight(), r.send)
+	return r.owner.sendRefusal(r.backend, r.in, verdict.Refuse(verdict.NotRun, reason), r.send)
 }
 
 func (r *run) unknown(reason verdict.Reason) error {
-	return r.owner.sendRefusal(verdict.Refuse(verdict.Unknown, reason), r.backend.gate.InFlight(), r.send)
+	return r.owner.sendRefusal(r.backend, r.in, verdict.Refuse(verdict.Unknown, reason), r.send)
 }
 
 // isDead reports whether a backend server that broke a connection has stopped
@@ -175,44 +211,38 @@
 	return false
 }
 
-// passAnswer streams the answer. The whole answer of a claimed request is kept first.
-func (r *run) passAnswer(resp *http.Response) error {
-	if r.claim != nil {
-		return r.passClaimed(resp)
-	}
-	answer := r.head(resp)
-	chunks := newChunkReader(resp)
+// stream passes a long answer on as it arrives.
+func (r *run) stream(answer *backend.Answer) error {
+	out := r.head(answer)
+	left := answer.Length()
+	buffer := make([]byte, chunkBytes)
 	for {
-		chunk, last, err := chunks.next()
-		if err != nil {
+		chunk := buffer[:min(int64(len(buffer)), left)]
+		if _, err := io.ReadFull(answer, chunk); err != nil {
 			r.owner.Count(`hibiscusrock_answers_cut_total`)
 			return err
 		}
-		answer.Body = chunk
-		answer.Last = last
-		if err := r.send(answer); err != nil || last {
+		left -= int64(len(chunk))
+		out.Body = chunk
+		out.Last = left == 0
+		if err := r.send(out); err != nil || out.Last {
 			return err
 		}
-		answer = &wire.CallAnswer{}
+		out = &wire.CallAnswer{}
 	}
 }
 
-func (r *run) head(resp *http.Response) *wire.CallAnswer {
-	return &wire.CallAnswer{
-		Verdict:  wire.Verdict_VERDICT_RAN,
-		Status:   int32(resp.StatusCode),
-		Headers:  encodeHeaders(resp.Header),
-		InFlight: int32(r.backend.gate.InFlight()),
+func (r *run) head(answer *backend.Answer) *wire.CallAnswer {
+	head := &wire.CallAnswer{
+		Verdict: wire.Verdict_VERDICT_RAN,
+		Status:  int32(answer.Status()),
+		Headers: encodeHeaders(answer.Header()),
 	}
+	r.backend.report(r.work, head)
+	return head
 }
 
-func (r *run) passClaimed(resp *http.Response) error {
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return r.unknown(verdict.AnswerLost)
-	}
-	answer := r.head(resp)
-	r.claim.Finish(answer.GetStatus(), answer.GetHeaders(), body)
+func (r *run) sendWhole(answer *wire.CallAnswer, body []byte) error {
 	for len(body) > chunkBytes {
 		answer.Body = body[:chunkBytes]
 		if err := r.send(answer); err != nil {
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -10,6 +10,9 @@
 const (
 	// significance is the chance of a false alarm that one look may have.
 	significance = 3e-5
+	// pacedSignificance is the same for a move under an exposure bound, whose
+	// breach costs more than a good version taken back.
+	pacedSignificance = 3e-4
 	// suspicion is the chance at which a share is not raised further.
 	suspicion         = 0.01
 	fewestFailures    = 2
--- a/pkg/rollout/pilot.go
+++ b/pkg/rollout/pilot.go
@@ -69,6 +69,19 @@
 	return nil, changed
 }
 
+// StepPaced is Step for a move of the whole deployment under an exposure bound.
+func (p *Pilot) StepPaced(in Pace) (*Finding, bool) {
+	p.track.Begin(p.state.Since)
+	in.Short, in.Stages = p.track.Short(), p.track.Stages()
+	next, finding := NextPaced(p.state, in)
+	if finding != nil {
+		return finding, false
+	}
+	changed := next != p.state
+	p.state = next
+	return nil, changed
+}
+
 // Halt returns the halt that a finding calls for.
 func (f *Finding) Halt(move *wire.Move, dataCentre string, at time.Time) *wire.Halt {
 	return &wire.Halt{
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -31,67 +31,158 @@
 	return shares
 }
 
-// Version chooses a version at random by share. Versions in excluded are
-// left out as long as another version has a share.
-func (s Shares) Version(random func(n int) int, excluded []string) string {
-	versions := make([]string, 0, len(s))
-	total := 0
+// Alternatives returns the versions with a share, in order of name. Versions
+// in excluded are left out.
+func (s Shares) Alternatives(excluded []string) []Weighted {
+	alternatives := make([]Weighted, 0, len(s))
 	for version, permille := range s {
 		if permille > 0 && !slices.Contains(excluded, version) {
-			versions = append(versions, version)
-			total += permille
+			alternatives = append(alternatives, Weighted{Name: version, Weight: permille})
 		}
 	}
-	if total == 0 {
-		return ""
-	}
-	slices.Sort(versions)
-	n := random(total)
-	for _, version := range versions {
-		n -= s[version]
-		if n < 0 {
-			return version
-		}
+	slices.SortFunc(alternatives, func(a, b Weighted) int { return compareNames(a.Name, b.Name) })
+	return alternatives
+}
+
+func compareNames(a, b string) int {
+	if a < b {
+		return -1
 	}
-	return versions[len(versions)-1]
+	return 1
+}
+
+const (
+	// defaultWork stands for the time of a kind of work that no endpoint reported yet.
+	defaultWork = 100 * time.Millisecond
+	// coldFactor is how much longer a backend server takes just after its start.
+	coldFactor = 2
+	// remoteCost is the part of a request's latency objective that an answer
+	// from another data centre may come later than one from this data centre:
+	// bytes between data centres are paid for.
+	remoteCost = 0.15
+	// remoteDelay is the round trip to another data centre of the region.
+	remoteDelay = 3 * time.Millisecond
+	// crowding is the part of its work by which a request is slowed at a full
+	// backend server.
+	crowding = 0.5
+	// noise spreads choices between endpoints of nearly equal cost, so that
+	// nodes with the same view do not all choose the same one.
+	noise = 0.05
+	// waitSlack is added to the wait that the next best endpoint would cost.
+	waitSlack = 15 * time.Millisecond
+)
+
+// Need is what a request asks of a backend server.
+type Need struct {
+	Service string
+	Version string
+	// Kind groups requests of like cost.
+	Kind string
+	// Objective is the whole time within which an answer has its full value.
+	Objective time.Duration
+}
+
+// Choice is an endpoint for a request.
+type Choice struct {
+	Endpoint *fleet.Endpoint
+	// Cost is the expected time to an answer, with the handicaps of the endpoint.
+	Cost time.Duration
+	// MaxWait is the wait for a slot beyond which another endpoint is better; 0
+	// when there is no other.
+	MaxWait time.Duration
+	// Expected is the expected time to an answer.
+	Expected time.Duration
+	State    fleet.State
 }
 
 // Picker picks a backend server for a request.
 type Picker struct {
 	endpoints  *fleet.Endpoints
 	dataCentre string
-	random     func(n int) int
+	random     func() float64
 	now        func() time.Time
 }
 
 // NewPicker returns a picker that prefers backend servers of dataCentre.
 func NewPicker(now func() time.Time, endpoints *fleet.Endpoints, dataCentre string) *Picker {
-	return &Picker{endpoints: endpoints, dataCentre: dataCentre, random: rand.IntN, now: now}
+	return &Picker{endpoints: endpoints, dataCentre: dataCentre, random: rand.Float64, now: now}
 }
 
-// Pick returns a usable backend server of a version, or nil. Those already
-// tried are left out. Backend servers of this data centre go before others, and
-// those on nodes that are under suspicion or lately unreachable come last.
-func (p *Picker) Pick(service, version string, tried []*fleet.Endpoint) *fleet.Endpoint {
-	usable := p.endpoints.Usable(service, func(r *wire.Endpoint) bool {
-		return r.GetVersion() == version && !wasTried(r, tried)
+// Pick returns the usable backend server of a version that answers soonest by
+// what this node knows, or false. Those already tried are left out; those on
+// nodes under suspicion or lately unreachable come last.
+func (p *Picker) Pick(need Need, tried []*fleet.Endpoint) (Choice, bool) {
+	usable := p.endpoints.Usable(need.Service, func(r *wire.Endpoint) bool {
+		return r.GetVersion() == need.Version && !wasTried(r, tried)
 	})
 	if len(usable) == 0 {
-		return nil
+		return Choice{}, false
 	}
-	best := p.bestGroup(usable)
-	if len(best) == 1 {
-		return best[0]
+	return p.best(need, p.reachable(usable)), true
+}
+
+// best returns the cheapest endpoint. It accepts the wait by which the next
+// best would cost as much.
+func (p *Picker) best(need Need, endpoints []*fleet.Endpoint) Choice {
+	now := p.now()
+	known := p.meanWork(need.Kind, endpoints, now)
+	var best, second Choice
+	for _, e := range endpoints {
+		c := p.cost(need, e, known, now)
+		switch {
+		case best.Endpoint == nil || c.Cost < best.Cost:
+			best, second = c, best
+		case second.Endpoint == nil || c.Cost < second.Cost:
+			second = c
+		}
 	}
-	i := p.random(len(best))
-	j := p.random(len(best) - 1)
-	if j >= i {
-		j++
+	if second.Endpoint != nil {
+		best.MaxWait = best.State.Wait + second.Cost - best.Cost + waitSlack
 	}
-	if best[j].Load() < best[i].Load() {
-		return best[j]
+	return best
+}
+
+// meanWork returns the mean time for a kind of work over the endpoints that
+// reported one.
+func (p *Picker) meanWork(kind string, endpoints []*fleet.Endpoint, now time.Time) time.Duration {
+	total, n := time.Duration(0), time.Duration(0)
+	for _, e := range endpoints {
+		if work := e.Observed().State(now, kind).Work; work > 0 {
+			total += work
+			n++
+		}
 	}
-	return best[i]
+	if n == 0 {
+		return defaultWork
+	}
+	return total / n
+}
+
+func (p *Picker) cost(need Need, e *fleet.Endpoint, meanWork time.Duration, now time.Time) Choice {
+	state := e.Observed().State(now, need.Kind)
+	work := state.Work
+	if work == 0 {
+		work = meanWork
+		if e.IsCold(now) {
+			work *= coldFactor
+		}
+	}
+	slots := float64(max(e.Record().GetSlots(), 1))
+	full := float64(state.Busy+1) / slots
+	wait := state.Wait
+	if full > 1 {
+		wait = max(wait, time.Duration((full-1)*float64(work)))
+	}
+	expected := float64(wait) + float64(work)*(1+crowding*min(full, 1)*min(full, 1))
+	cost := expected
+	if e.Record().GetDataCentre() != p.dataCentre {
+		expected += float64(remoteDelay)
+		cost = expected + remoteCost*float64(need.Objective)
+	}
+	cost += state.Failing * float64(need.Objective)
+	cost *= 1 + noise*p.random()
+	state.Wait = wait
+	return Choice{Endpoint: e, Cost: time.Duration(cost), Expected: time.Duration(expected), State: state}
 }
 
 func wasTried(r *wire.Endpoint, tried []*fleet.Endpoint) bool {
@@ -100,24 +191,18 @@
 	})
 }
 
-func (p *Picker) bestGroup(usable []*fleet.Endpoint) []*fleet.Endpoint {
-	const groups = 3
-	var byGroup [groups][]*fleet.Endpoint
+// reachable returns the endpoints whose nodes answer as far as this node knows,
+// or all when there is none.
+func (p *Picker) reachable(usable []*fleet.Endpoint) []*fleet.Endpoint {
 	now := p.now()
+	var reachable []*fleet.Endpoint
 	for _, e := range usable {
-		group := 1
-		switch {
-		case p.endpoints.Suspected(e) || e.Avoided(now):
-			group = 2
-		case e.Record().GetDataCentre() == p.dataCentre:
-			group = 0
+		if !p.endpoints.Suspected(e) && !e.Observed().Avoided(now) {
+			reachable = append(reachable, e)
 		}
-		byGroup[group] = append(byGroup[group], e)
 	}
-	for _, group := range byGroup {
-		if len(group) > 0 {
-			return group
-		}
+	if len(reachable) == 0 {
+		return usable
 	}
-	return nil
+	return reachable
 }
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -14,6 +14,10 @@
 // Table is the immutable result of one release. A node enforces one table at a time.
 type Table struct {
 	document *bundle.Document
+	sequence uint64
+	// exactSlash is set when a prefix that ends with a slash does not match the
+	// path without it.
+	exactSlash bool
 	services map[string]*bundle.Service
 	moves    map[string]*wire.Move
 	hosts    map[string]prefixes
@@ -27,29 +31,51 @@
 func NewTable(document *bundle.Document, parts []bundle.Part) (*Table, error) {
 	t := &Table{
 		document: document,
+		sequence: document.Sequence(),
 		services: make(map[string]*bundle.Service, len(parts)),
 		moves:    make(map[string]*wire.Move),
 		hosts:    make(map[string]prefixes),
 	}
+	if err := t.addParts(parts); err != nil {
+		return nil, err
+	}
+	for _, move := range document.Release().GetMoves() {
+		t.moves[move.GetService()] = move
+	}
+	return t, nil
+}
+
+// NewSnapshotTable builds a table from every part of a snapshot, whose path
+// prefixes match with their final slash.
+func NewSnapshotTable(sequence uint64, parts []bundle.Part) (*Table, error) {
+	t := &Table{
+		sequence:   sequence,
+		exactSlash: true,
+		services:   make(map[string]*bundle.Service, len(parts)),
+		hosts:      make(map[string]prefixes),
+	}
+	return t, t.addParts(parts)
+}
+
+func (t *Table) addParts(parts []bundle.Part) error {
 	for i := range parts {
 		t.services[parts[i].Name] = &parts[i].Service
 	}
 	for i := range parts {
 		for j := range parts[i].Routes {
 			if err := t.addRoute(&parts[i].Routes[j]); err != nil {
-				return nil, err
+				return err
 			}
 		}
 	}
-	for _, move := range document.Release().GetMoves() {
-		t.moves[move.GetService()] = move
-	}
-	return t, nil
+	return nil
 }
 
 func (t *Table) addRoute(r *bundle.Route) error {
-	if _, ok := t.services[r.Service]; !ok {
-		return fault.New(fault.KindInvalid, "route "+r.Name+" names the unknown service "+r.Service, "add the service to the bundle or remove the route")
+	for _, service := range r.Services() {
+		if _, ok := t.services[service]; !ok {
+			return fault.New(fault.KindInvalid, "route "+r.Name+" names the unknown service "+service, "add the service to the bundle or remove the route")
+		}
 	}
 	host := strings.ToLower(r.Host)
 	if t.hosts[host] == nil {
@@ -69,7 +95,12 @@
 }
 
 // Sequence returns the number of the table's release, or 0 without a table.
-func (t *Table) Sequence() uint64 { return t.Document().Sequence() }
+func (t *Table) Sequence() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.sequence
+}
 
 // Service returns a service, or nil when the table does not know it.
 func (t *Table) Service(name string) *bundle.Service {
@@ -111,15 +142,19 @@
 	}
 	host, _, _ = strings.Cut(strings.ToLower(host), ":")
 	if host != "" {
-		if r := t.hosts[host].match(method, path); r != nil {
+		if r := t.hosts[host].match(method, path, t.exactSlash); r != nil {
 			return r
 		}
 	}
-	return t.hosts[""].match(method, path)
+	return t.hosts[""].match(method, path, t.exactSlash)
 }
 
-func (p prefixes) match(method, path string) *bundle.Route {
+func (p prefixes) match(method, path string, exactSlash bool) *bundle.Route {
 	prefix := strings.TrimSuffix(path, "/")
+	if exactSlash && prefix == path {
+		prefix = path[:strings.LastIndexByte(path, '/')+1]
+		prefix = strings.TrimSuffix(prefix, "/")
+	}
 	for {
 		if r := matchMethod(p[prefix], method); r != nil {
 			return r
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -83,20 +83,30 @@
 	}
 }
 
-func TestVersionByShare(t *testing.T) {
-	const draws = 20000
+// TestSpreadKeepsShares: the share holds in every run of a hundred choices, not
+// only on average.
+func TestSpreadKeepsShares(t *testing.T) {
+	const draws, run = 20000, 100
 	random := rand.New(rand.NewPCG(1, 1))
-	counts := make(map[string]int)
-	for range draws {
-		counts[Shares{"v1": 950, "v2": 50}.Version(random.IntN, nil)]++
+	spread := NewSpread(random.IntN)
+	shares := Shares{"v1": 950, "v2": 50}
+	inRun := 0
+	for i := range draws {
+		if spread.Choose("s", shares.Alternatives(nil)) == "v2" {
+			inRun++
+		}
+		if (i+1)%run != 0 {
+			continue
+		}
+		if want := run / 20; inRun < want-1 || inRun > want+1 {
+			t.Fatalf("the version with 5 %% was chosen %d times of %d, want %d", inRun, run, want)
+		}
+		inRun = 0
 	}
-	if got, want := counts["v2"], draws/20; got < want*8/10 || got > want*12/10 {
-		t.Errorf("the version with 5 %% was chosen %d times of %d, want about %d", got, draws, want)
-	}
-	if got := (Shares{"v1": 950, "v2": 50}).Version(random.IntN, []string{"v1"}); got != "v2" {
+	if got := spread.Choose("s", shares.Alternatives([]string{"v1"})); got != "v2" {
 		t.Errorf("got %q with v1 left out, want v2", got)
 	}
-	if got := (Shares{"v1": 0}).Version(random.IntN, nil); got != "" {
+	if got := spread.Choose("s", Shares{"v1": 0}.Alternatives(nil)); got != "" {
 		t.Errorf("got %q without any share, want none", got)
 	}
 }
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -63,6 +64,10 @@
 	UnknownInstance   Reason = "unknown_instance"
 	UnknownService    Reason = "unknown_service"
 	QueueFull         Reason = "queue_full"
+	Busy              Reason = "busy"
+	Overloaded        Reason = "overloaded"
+	BackendError      Reason = "backend_server_error"
+	PeerSilent        Reason = "peer_silent"
 	DeadlineTooNear   Reason = "deadline_too_near"
 	DeadlinePassed    Reason = "deadline_passed"
 	VersionHalted     Reason = "version_halted"
@@ -96,6 +101,10 @@
 	UnknownInstance:   {http.StatusServiceUnavailable, "try again; the backend server is gone"},
 	UnknownService:    {http.StatusServiceUnavailable, "try again; the node does not know the service yet"},
 	QueueFull:         {http.StatusServiceUnavailable, "try again later; the backend server has more work than slots"},
+	Busy:              {http.StatusServiceUnavailable, "try again later; the wait at the backend server is longer than elsewhere"},
+	Overloaded:        {http.StatusServiceUnavailable, "try again after the time that Retry-After names; no backend server can answer in time"},
+	BackendError:      {http.StatusBadGateway, "look up whether the request took effect before you send it again"},
+	PeerSilent:        {http.StatusBadGateway, "look up whether the request took effect before you send it again"},
 	DeadlineTooNear:   {http.StatusServiceUnavailable, "try again with more time; the queue is longer than the time left"},
 	DeadlinePassed:    {http.StatusGatewayTimeout, "look up whether the request took effect before you send it again"},
 	VersionHalted:     {http.StatusServiceUnavailable, "try again; the version was taken back"},
@@ -114,13 +123,26 @@
 
 // Refusal is the answer to a request that was not served.
 type Refusal struct {
-	verdict Verdict
-	reason  Reason
+	verdict    Verdict
+	reason     Reason
+	retryAfter time.Duration
 }
 
 // Refuse returns a refusal.
 func Refuse(v Verdict, reason Reason) *Refusal { return &Refusal{verdict: v, reason: reason} }
 
+// RetryAfter returns the refusal with the time after which the request has a
+// chance again.
+func (r *Refusal) RetryAfter(d time.Duration) *Refusal {
+	with := *r
+	with.retryAfter = d
+	return &with
+}
+
+// Wait returns the time after which the request has a chance again, or 0 when
+// nothing is known of it.
+func (r *Refusal) Wait() time.Duration { return r.retryAfter }
+
 // Verdict returns whether the request ran.
 func (r *Refusal) Verdict() Verdict { return r.verdict }
 
@@ -145,7 +167,13 @@
 
 // ToWire returns the refusal as the whole answer of an owner node.
 func (r *Refusal) ToWire() *wire.CallAnswer {
-	return &wire.CallAnswer{Verdict: r.verdict.ToWire(), Reason: string(r.reason), Status: int32(r.Status()), Last: true}
+	return &wire.CallAnswer{
+		Verdict:      r.verdict.ToWire(),
+		Reason:       string(r.reason),
+		Status:       int32(r.Status()),
+		Last:         true,
+		RetryAfterMs: r.retryAfter.Milliseconds(),
+	}
 }
 
 type problem struct {
@@ -157,12 +185,33 @@
 	Reason  Reason  `json:"reason"`
 }
 
+// PromisedStatus returns the status for callers to whom 408, 421, 429 and 503
+// promise that the request has not run.
+func (r *Refusal) PromisedStatus() int {
+	status := r.Status()
+	switch {
+	case r.verdict == NotRun && r.reason != NoRoute && r.reason != BodyTooLarge && r.reason != BodyUnreadable:
+		return http.StatusServiceUnavailable
+	case r.verdict != NotRun && status == http.StatusServiceUnavailable:
+		return http.StatusBadGateway
+	}
+	return status
+}
+
+// ReachedBackend reports whether the request may have reached a backend server.
+func (r *Refusal) ReachedBackend() bool {
+	return r.verdict != NotRun || r.reason == BackendShed
+}
+
 // Write sends the refusal to a caller.
-func (r *Refusal) Write(w http.ResponseWriter) {
+func (r *Refusal) Write(w http.ResponseWriter) { r.WriteStatus(w, r.Status()) }
+
+// WriteStatus sends the refusal to a caller with the given status.
+func (r *Refusal) WriteStatus(w http.ResponseWriter, status int) {
 	data, _ := json.Marshal(problem{
 		Type:    "urn:hibiscusrock:refusal:" + string(r.reason),
-		Title:   http.StatusText(r.Status()),
-		Status:  r.Status(),
+		Title:   http.StatusText(status),
+		Status:  status,
 		Detail:  r.Remedy(),
 		Verdict: r.verdict,
 		Reason:  r.reason,
@@ -170,6 +219,6 @@
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.Header().Set(Header, string(r.verdict))
 	w.Header().Set(ReasonHeader, string(r.reason))
-	w.WriteHeader(r.Status())
+	w.WriteHeader(status)
 	_, _ = w.Write(append(data, '\n'))
 }
