--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -124,14 +124,14 @@
 	}
 	left := max(r.deadline.Sub(r.owner.Now()), time.Millisecond)
 	headers := slices.Clone(r.in.GetHeaders())
-	for _, own := range []wire.Header{
+	for _, own := range []*wire.Header{
 		{Name: h.RequestID, Value: r.id},
 		{Name: h.RemainingMS, Value: strconv.FormatInt(left.Milliseconds(), 10)},
 		{Name: h.Caller, Value: r.in.GetCaller()},
 		{Name: h.Expect, Value: r.record.GetInstance()},
 	} {
 		if own.GetName() != "" && own.GetValue() != "" {
-			headers = append(headers, &wire.Header{Name: own.GetName(), Value: own.GetValue()})
+			headers = append(headers, own)
 		}
 	}
 	return &backend.Request{
