--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -14,8 +14,8 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
 	"github.com/hibiscusrock/hibiscusrock/pkg/keys"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/standin"
-	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -28,7 +28,7 @@
 	Signers            map[string]string `json:"signers" doc:"Public keys in base64 by signer, as 'hibiscusrock keys generate' prints them."`
 	RequiredSignatures int               `json:"required_signatures" doc:"Number of different signers that a release needs."`
 	Seeds              []string          `json:"seeds" doc:"Peer addresses to join through, besides those on the platform."`
-	StopTimeoutSeconds int               `json:"stop_timeout_seconds" doc:"Longest time that a graceful stop waits for requests in flight."`
+	StopTimeoutSeconds float64           `json:"stop_timeout_seconds" doc:"Longest time that a graceful stop takes, after which the process may be killed."`
 	StopNoticeMS       int               `json:"stop_notice_ms" doc:"Time in milliseconds for which a stopping node still takes callers' requests, so that they can move to other nodes."`
 	LogLevel           string            `json:"log_level" doc:"One of debug, info, warning and error."`
 	Source             string            `json:"source" doc:"Where configurations come from: signed 'releases', or 'store' for a users' store whose acknowledgement is the sign-off."`
@@ -136,8 +136,10 @@
 		p.add("platform.endpoints: none is given")
 	}
 	p.checkRange("platform.timeout_ms", s.Platform.TimeoutMS, 10, 60000)
-	p.checkRange("stop_timeout_seconds", s.StopTimeoutSeconds, 1, 3600)
-	p.checkRange("stop_notice_ms", s.StopNoticeMS, 0, 1000*s.StopTimeoutSeconds)
+	if s.StopTimeoutSeconds < 1 || s.StopTimeoutSeconds > 3600 {
+		p.add("stop_timeout_seconds: %v is outside 1 to 3600", s.StopTimeoutSeconds)
+	}
+	p.checkRange("stop_notice_ms", s.StopNoticeMS, 0, 60000)
 	p.checkRange("memory_limit_mb", s.MemoryLimitMB, 8, 1<<20)
 	switch s.Source {
 	case SourceReleases:
@@ -181,14 +183,15 @@
 	p.checkRange("exposure.slack", s.Exposure.Slack, 0, 1<<20)
 }
 
-// StopNotice returns the time for which a stopping node still takes requests.
+// StopNotice returns the time for which a stopping node still takes requests;
+// at least half of the stop is left for those that it took.
 func (s Settings) StopNotice() time.Duration {
-	return time.Duration(s.StopNoticeMS) * time.Millisecond
+	return min(time.Duration(s.StopNoticeMS)*time.Millisecond, s.StopTimeout()/2)
 }
 
 // StopTimeout returns the longest time that a graceful stop waits.
 func (s Settings) StopTimeout() time.Duration {
-	return time.Duration(s.StopTimeoutSeconds) * time.Second
+	return time.Duration(s.StopTimeoutSeconds * float64(time.Second))
 }
 
 // PlatformTimeout returns the longest time for one platform call.
--- a/pkg/distribution/snapshots.go
+++ b/pkg/distribution/snapshots.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
@@ -25,6 +26,9 @@
 
 	mu    sync.RWMutex
 	peers map[string]uint64
+	// behind is the newest sequence heard of that is not held, since when.
+	behind      uint64
+	behindSince time.Time
 }
 
 // NewSnapshots returns an empty holder. The function decode reads a snapshot's
@@ -70,6 +74,18 @@
 // Newest returns the newest snapshot, or nil.
 func (s *Snapshots) Newest() *wire.Snapshot { return s.newest.Load() }
 
+// KnownFor returns the time for which this node has known that it lacks a
+// sequence or one before it.
+func (s *Snapshots) KnownFor(sequence uint64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.behind <= s.Sequence() {
+		s.behindSince = s.Now()
+	}
+	s.behind = max(s.behind, sequence)
+	return s.Now().Sub(s.behindSince)
+}
+
 // Heard records that a node holds a sequence.
 func (s *Snapshots) Heard(node string, sequence uint64) {
 	s.mu.Lock()
--- a/pkg/node/connected.go
+++ b/pkg/node/connected.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strings"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
@@ -14,6 +17,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
 	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
 // Connection is what a node needs of the users' platform: its store, the names
@@ -63,9 +67,11 @@
 	var cleanUp func()
 	n.owner, cleanUp = request.NewOwner(n.Common, n.recorder, n.ward, request.OwnerHooks{
 		QueueLength: n.queueLength,
-		Halted:      func(service, version string) bool { return !n.joiner.hasJoined() || n.rollouts.halted(service, version) },
-		Moving:      n.rollouts.moving,
-		Announce:    n.announce,
+		Halted: func(service, version string) bool {
+			return !n.joiner.hasJoined() || n.rollouts.halted(service, version)
+		},
+		Moving:   n.rollouts.moving,
+		Announce: n.announce,
 	}, request.WithOwnerHeaders(n.link.Headers))
 	n.cleanUps = append(n.cleanUps, cleanUp)
 	n.entry = request.NewEntry(n.Common, n.settings.Node, n.owner, n.ward, n.newPicker(), request.EntryHooks{
@@ -102,10 +108,37 @@
 				}
 			}
 		}),
+		store.WithWait(n.watchWait),
 		store.WithReach(n.joiner.storeReached, n.joiner.storeLost))
 	follower.Run(ctx)
 }
 
+const (
+	// checkWait bounds the time for which the whole deployment can miss a change
+	// because watches went silent; it is well below the time in which a change
+	// has to be in force.
+	checkWait = 800 * time.Millisecond
+	// checkers is the number of nodes that look so often, so that one may fail.
+	checkers = 2
+	// relayWait is the wait of the other nodes that watch.
+	relayWait = 20 * time.Second
+	// lonelyTime is the time without a word from a peer after which a node
+	// watches by itself.
+	lonelyTime = 1200 * time.Millisecond
+)
+
+// watchWait returns how long this node's next watch waits. A few nodes look
+// often and the relays of each data centre wait long; the others hear from them.
+func (n *Node) watchWait() time.Duration {
+	switch {
+	case n.fleetRank("watch") < checkers || n.sinceHeard() > lonelyTime:
+		return checkWait
+	case n.members.IsRelay():
+		return relayWait
+	}
+	return 0
+}
+
 func (n *Node) takeOperatorKey(kv store.KeyValue) {
 	switch {
 	case kv.Key == n.link.ConfigurationKey:
@@ -145,3 +178,23 @@
 }
 
 func (n *Node) isReady() bool { return n.ready.Load() && n.table() != nil }
+
+// fleetRank returns this node's rank among the live nodes for a task, in an
+// order of its own for each task.
+func (n *Node) fleetRank(task string) int {
+	rank := func(node string) uint64 { return xxhash.Sum64String(task + "/" + node) }
+	own := rank(n.settings.Node)
+	lower := 0
+	for _, member := range n.members.All() {
+		alive := member.GetState() == wire.MemberState_MEMBER_STATE_ALIVE
+		if alive && cmp.Compare(rank(member.GetNode()), own) < 0 {
+			lower++
+		}
+	}
+	return lower
+}
+
+// sinceHeard returns the time since a peer last answered or called.
+func (n *Node) sinceHeard() time.Duration {
+	return n.Now().Sub(time.Unix(0, n.lastHeard.Load()))
+}
--- a/pkg/node/gossiper.go
+++ b/pkg/node/gossiper.go
@@ -106,7 +106,7 @@
 		}
 	}
 	targets := sample(lacking, pushFanout)
-	if g.members.IsRelay() {
+	if g.members.IsRelay() && g.snapshots == nil {
 		targets = append(targets, g.remoteRelays()...)
 	}
 	g.exchangeAll(ctx, addressesOf(targets))
@@ -211,7 +211,8 @@
 
 // exchange swaps news with one peer, and repairs differences that remain.
 func (g *gossiper) exchange(ctx context.Context, address string) error {
-	in := g.newExchange(g.memberAt(address))
+	member := g.memberAt(address)
+	in := g.newExchange(member)
 	out, err := g.control.Exchange(ctx, address, in)
 	if err != nil {
 		g.Count(`hibiscusrock_gossip_failures_total`)
@@ -220,7 +221,7 @@
 	g.Count(`hibiscusrock_gossip_exchanges_total`)
 	g.records.Apply(out.GetRecords(), true)
 	g.heard(out.GetNode(), out.GetSequence())
-	if out.GetSequence() > g.held() {
+	if out.GetSequence() > g.held() && g.mayPull(member, out.GetSequence()) {
 		g.pull(ctx, address)
 	}
 	if out.GetDigest() != g.records.Digest() {
@@ -236,7 +237,7 @@
 	in := g.baseRequest(g.records.Rumours(rumourBytes, remote))
 	in.Digest = g.records.Digest()
 	if member != nil && g.heldBy(member.GetNode()) < in.GetSequence() {
-		g.attach(in)
+		g.attach(in, member)
 	}
 	return in
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -20,11 +20,11 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/keys"
 	"github.com/hibiscusrock/hibiscusrock/pkg/peer"
-	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/quarantine"
 	"github.com/hibiscusrock/hibiscusrock/pkg/request"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
 	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
+	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
@@ -32,6 +32,9 @@
 	headerTimeout     = 5 * time.Second
 	idleCallerTimeout = 2 * time.Minute
 	largestHeader     = 64 << 10
+	// stopReserve is the part of the stop timeout that is left for the process
+	// to end by itself.
+	stopReserve = 150 * time.Millisecond
 )
 
 // Option changes a Node under construction.
@@ -69,8 +72,10 @@
 	joiner    *joiner
 	rollouts  *rollouts
 
-	ready    atomic.Bool
-	cleanUps []func()
+	ready atomic.Bool
+	// lastHeard is when a peer last answered or called, in Unix nanoseconds.
+	lastHeard atomic.Int64
+	cleanUps  []func()
 }
 
 // New returns a node with the given settings, and its clean-up function.
@@ -334,7 +339,7 @@
 // those of other nodes run to their end.
 func (n *Node) stop(callers *http.Server) {
 	n.Log().WithField("event", "node_stopping").Info("node stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout())
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout()-stopReserve)
 	defer cancel()
 	n.entry.BeginStop()
 	n.owner.DrainAll()
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -53,7 +53,9 @@
 	if r == nil {
 		return
 	}
-	p.node.take(ctx, r.GetMember().GetAddress(), in.GetRelease(), in.GetSnapshot())
+	if in.GetRelease() != nil || in.GetSnapshot() != nil || p.node.mayPull(r.GetMember(), in.GetSequence()) {
+		p.node.take(ctx, r.GetMember().GetAddress(), in.GetRelease(), in.GetSnapshot())
+	}
 }
 
 // Compare implements wire.DRPCPeerServer.
--- a/pkg/node/releases.go
+++ b/pkg/node/releases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
@@ -32,9 +33,13 @@
 	return n.holder.HeldBy(name)
 }
 
-// attach adds the newest configuration to a message, if it is small.
-func (n *Node) attach(in *wire.ExchangeRequest) {
+// attach adds the newest configuration to a message, if it is small. Other data
+// centres read a snapshot from the store themselves.
+func (n *Node) attach(in *wire.ExchangeRequest, member *wire.Member) {
 	if n.snapshots != nil {
+		if member.GetDataCentre() != n.settings.DataCentre {
+			return
+		}
 		if newest := n.snapshots.Newest(); len(newest.GetContent()) <= largestPushed {
 			in.Snapshot = newest
 		}
@@ -57,8 +62,21 @@
 	}
 }
 
+// pullDelay is the time that the store's own news has before a newer
+// configuration is fetched from another data centre, whose bytes are paid for.
+const pullDelay = 500 * time.Millisecond
+
+// mayPull decides whether to fetch a newer configuration that a peer mentioned.
+func (n *Node) mayPull(member *wire.Member, sequence uint64) bool {
+	if n.snapshots == nil || member.GetDataCentre() == n.settings.DataCentre {
+		return true
+	}
+	return n.snapshots.KnownFor(sequence) >= pullDelay
+}
+
 // heard notes what a node holds.
 func (n *Node) heard(name string, sequence uint64) {
+	n.lastHeard.Store(n.Now().UnixNano())
 	r := n.records.Get(gossip.PrefixMember + name)
 	if n.snapshots != nil {
 		if r != nil {
--- a/pkg/node/rollouts.go
+++ b/pkg/node/rollouts.go
@@ -1,13 +1,11 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
@@ -283,7 +281,7 @@
 func (r *rollouts) isEligible() bool {
 	now := r.Now()
 	for _, t := range r.open() {
-		turn := time.Duration(r.turn(t.order.Service)) * standInterval
+		turn := time.Duration(r.fleetRank(t.order.Service)) * standInterval
 		r.mu.Lock()
 		due := t.seen.Add(turn)
 		if !t.heardAt.IsZero() {
@@ -297,20 +295,6 @@
 	return false
 }
 
-// turn returns this node's rank among the live nodes for a service.
-func (r *rollouts) turn(service string) int {
-	rank := func(node string) uint64 { return xxhash.Sum64String(service + "/" + node) }
-	own := rank(r.settings.Node)
-	turn := 0
-	for _, member := range r.members.All() {
-		alive := member.GetState() == wire.MemberState_MEMBER_STATE_ALIVE
-		if alive && cmp.Compare(rank(member.GetNode()), own) < 0 {
-			turn++
-		}
-	}
-	return turn
-}
-
 // sendEvidence tells the steward what this host's backend server did.
 func (r *rollouts) sendEvidence(ctx context.Context, t *trackedOrder) {
 	totals := r.recorder.Totals(t.order.Service)
--- a/pkg/request/entry_test.go
+++ b/pkg/request/entry_test.go
@@ -58,10 +58,10 @@
 	}
 	attempts := 0
 	hooks := EntryHooks{
-		Table:    func() *routing.Table { return table },
-		Shares:   func(*routing.Table, string) routing.Shares { return routing.Shares{"v1": bundle.FullPermille} },
-		Standby:  func(*routing.Table, string) string { return "" },
-		Address:  func(node string) (string, bool) { return node, true },
+		Table:   func() *routing.Table { return table },
+		Shares:  func(*routing.Table, string) routing.Shares { return routing.Shares{"v1": bundle.FullPermille} },
+		Standby: func(*routing.Table, string) string { return "" },
+		Address: func(node string) (string, bool) { return node, true },
 		CallPeer: func(_ context.Context, _ string, _ *wire.CallRequest, received func(*wire.CallAnswer) error) error {
 			r := replies[min(attempts, len(replies)-1)]
 			attempts++
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -18,9 +18,9 @@
 	// exactSlash is set when a prefix that ends with a slash does not match the
 	// path without it.
 	exactSlash bool
-	services map[string]*bundle.Service
-	moves    map[string]*wire.Move
-	hosts    map[string]prefixes
+	services   map[string]*bundle.Service
+	moves      map[string]*wire.Move
+	hosts      map[string]prefixes
 }
 
 // prefixes holds the routes of one host by path prefix without its final slash.
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -9,12 +9,13 @@
 )
 
 const (
-	// watchWait bounds how long a watch on a connection that went silent stays
-	// unnoticed.
+	// watchWait is how long a watch waits unless an option says otherwise.
 	watchWait = 8 * time.Second
 	// batchPause lets changes that come in quick succession arrive in one answer.
 	batchPause = 200 * time.Millisecond
 	// Pauses between reads while the store does not answer.
+	// idlePause is the time between questions whether to watch.
+	idlePause    = 300 * time.Millisecond
 	firstRetry   = 100 * time.Millisecond
 	largestRetry = time.Second
 )
@@ -28,6 +29,8 @@
 	listed func([]KeyValue)
 	// changed is called with the changes that a watch reports.
 	changed func([]Event)
+	// wait returns how long the next watch waits; 0 does without one for now.
+	wait func() time.Duration
 	// reached is called when the store answers, and lost when it stops doing so.
 	reached func()
 	lost    func(error)
@@ -46,6 +49,13 @@
 	return func(f *Follower) { f.changed = changed }
 }
 
+// WithWait sets the function that tells how long the next watch waits, which
+// bounds the time that a silent watch stays unnoticed. 0 does without a watch
+// for idlePause.
+func WithWait(wait func() time.Duration) FollowerOption {
+	return func(f *Follower) { f.wait = wait }
+}
+
 // WithReach sets functions that hear whether the store answers.
 func WithReach(reached func(), lost func(error)) FollowerOption {
 	return func(f *Follower) { f.reached, f.lost = reached, lost }
@@ -59,6 +69,7 @@
 		prefix:  prefix,
 		listed:  func([]KeyValue) {},
 		changed: func([]Event) {},
+		wait:    func() time.Duration { return watchWait },
 		reached: func() {},
 		lost:    func(error) {},
 	}
@@ -91,7 +102,12 @@
 // watch passes changes on until the watch breaks.
 func (f *Follower) watch(ctx context.Context, revision int64) error {
 	for ctx.Err() == nil {
-		events, next, err := f.kv.Watch(ctx, f.prefix, revision, watchWait)
+		wait := f.wait()
+		if wait == 0 {
+			common.Sleep(ctx, idlePause)
+			continue
+		}
+		events, next, err := f.kv.Watch(ctx, f.prefix, revision, wait)
 		if err != nil {
 			f.Count(`hibiscusrock_store_watch_breaks_total`)
 			return err
