Orders heard from the steward keep their deadline; on-time work first under load

Change: the record carries the duration and the order fills it in; the gate keeps the deviation of work, foresees the wait of late work, and counts what a caller has waited before.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -19,6 +19,8 @@
 	// idleSlotFactor is the part of the expected work that must fit before the
 	// deadline when a slot is free: work varies, and the slot costs nothing.
 	idleSlotFactor = 2
+	// leastSpare bounds the wait that is foreseen for late work.
+	leastSpare = 0.05
 )
 
 // Outcome is how an admitted request ended.
@@ -57,6 +59,7 @@
 	queueLength int
 	queue       queue
 	estimates   estimates
+	offered     offered
 	lastFall    time.Time
 	closed      *verdict.Refusal
 }
@@ -149,7 +152,8 @@
 }
 
 func (g *Gate) newWaiter(work Work) *waiter {
-	return &waiter{work: work, expected: g.estimates.expect(work.Kind), settled: make(chan *verdict.Refusal, 1)}
+	e := g.estimates.expect(work.Kind, work.Usual)
+	return &waiter{work: work, expected: e.mean, long: e.long(), settled: make(chan *verdict.Refusal, 1)}
 }
 
 // enter takes a slot at once, or returns a waiter that was queued.
@@ -162,6 +166,9 @@
 	now := g.now()
 	g.dropHopeless(now)
 	w := g.newWaiter(work)
+	if w.isOnTime(now) {
+		g.offered.add(now, w.expected)
+	}
 	if len(g.queue) == 0 && g.hasSlot() {
 		if now.Add(w.expected / idleSlotFactor).After(work.Deadline) {
 			return nil, nil, verdict.Refuse(verdict.NotRun, verdict.DeadlineTooNear)
@@ -183,6 +190,9 @@
 // refuse decides whether a request may join the queue.
 func (g *Gate) refuse(w *waiter, now time.Time) *verdict.Refusal {
 	wait := g.waitOf(w, now)
+	if !w.isOnTime(now.Add(wait)) {
+		wait = g.lateWait(wait, now)
+	}
 	late := now.Add(wait + w.expected).Sub(w.work.Deadline)
 	switch {
 	case w.work.MaxWait > 0 && wait > w.work.MaxWait:
@@ -195,6 +205,13 @@
 	return nil
 }
 
+// lateWait returns the wait of a request that will miss its objective: those
+// that come after it and do not are served before it.
+func (g *Gate) lateWait(wait time.Duration, now time.Time) time.Duration {
+	spare := 1 - g.offered.load(now)/max(g.limit, lowestLimit)
+	return time.Duration(float64(wait) / max(spare, leastSpare))
+}
+
 // admit gives a request a slot.
 func (g *Gate) admit(w *waiter) *running {
 	r := &running{kind: w.work.Kind, started: g.now(), expected: w.expected}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -17,6 +17,8 @@
 	Objective time.Time
 	// Deadline is the time after which an answer is worth nothing.
 	Deadline time.Time
+	// Usual is the time that the kind is thought to take before any was measured.
+	Usual time.Duration
 	// MaxWait refuses work that would wait longer for a slot; 0 accepts any wait
 	// that the deadline allows.
 	MaxWait time.Duration
@@ -33,8 +35,10 @@
 type waiter struct {
 	work     Work
 	expected time.Duration
-	settled  chan *verdict.Refusal
-	queued   bool
+	// long is the time within which most requests of the kind are answered.
+	long    time.Duration
+	settled chan *verdict.Refusal
+	queued  bool
 	// slot is set before the waiter is settled with a slot.
 	slot *running
 }
@@ -44,9 +48,9 @@
 	w.settled <- refusal
 }
 
-// isOnTime reports whether a request that starts now is answered within its objective.
+// isOnTime reports whether a request that starts now most likely meets its objective.
 func (w *waiter) isOnTime(now time.Time) bool {
-	return !now.Add(w.expected).After(w.work.objective())
+	return !now.Add(w.long).After(w.work.objective())
 }
 
 // isHopeless reports whether a request that starts at the given time misses its deadline.
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -168,6 +168,16 @@
 	return time.Duration(r.ObjectiveMS) * time.Millisecond
 }
 
+// usualPart is the part of a latency objective that the work takes where
+// operators leave the customary room for waits.
+const usualPart = 3
+
+// UsualWork returns the time that a backend server is thought to take before
+// any was measured; 0 when the route has no objective of its own.
+func (r *Route) UsualWork() time.Duration {
+	return time.Duration(r.ObjectiveMS) * time.Millisecond / usualPart
+}
+
 // From returns the version that a move leaves: the one with the largest share.
 func (s *Service) From() string {
 	from := ""
--- a/pkg/node/drive.go
+++ b/pkg/node/drive.go
@@ -163,6 +163,7 @@
 		BegunUnixMs: d.begun.UnixMilli(),
 		Stage:       uint64(state.Stage),
 		SinceUnixMs: state.Since.UnixMilli(),
+		DurationMs:  t.order.Duration.Milliseconds(),
 	}
 	record := &wire.Record{Key: gossip.PrefixRollout + t.order.Service, Epoch: r.steward.epoch.Load(), Step: d.step, Body: &wire.Record_Rollout{Rollout: said}}
 	if !r.records.Set(record) {
--- a/pkg/node/joiner.go
+++ b/pkg/node/joiner.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
@@ -20,6 +22,9 @@
 	registrationPeriod = seedLease / 3
 	// lonelyPeriod is the pause between reads of the registry while no peer answers.
 	lonelyPeriod = time.Second
+	// adoptTime is the time after a start in which what others know of this
+	// host goes before what it says itself.
+	adoptTime = 2 * time.Second
 	// joinFanout bounds the nodes that a starting node calls at once; the rest
 	// it hears of from them.
 	joinFanout = 16
@@ -32,6 +37,8 @@
 	registrar *registrar
 	joined    atomic.Bool
 	begun     time.Time
+	// changed wakes the registration after a change of this host's backend servers.
+	changed chan struct{}
 
 	mu        sync.Mutex
 	reachable bool
@@ -39,7 +46,8 @@
 
 func newJoiner(n *Node) *joiner {
 	kv := n.link.KV
-	r := newRegistrar(n.Common, registry{
+	j := &joiner{Node: n, begun: n.Now(), changed: make(chan struct{}, 1)}
+	j.registrar = newRegistrar(n.Common, registry{
 		list: func(ctx context.Context) ([]store.KeyValue, error) {
 			kvs, _, err := kv.List(ctx, store.SeedPrefix)
 			return kvs, err
@@ -48,8 +56,58 @@
 		put:       kv.Put,
 		keepAlive: kv.KeepAlive,
 		revoke:    kv.Revoke,
-	}, store.SeedKey(n.settings.DataCentre, n.settings.Node), n.settings.AdvertiseAddress)
-	return &joiner{Node: n, registrar: r, begun: n.Now()}
+	}, store.SeedKey(n.settings.DataCentre, n.settings.Node), j.encode, j.decode)
+	n.records.OnChange(j.observe)
+	return j
+}
+
+// encode returns the registration of this node and its backend servers.
+func (j *joiner) encode() []byte {
+	r := &wire.Registration{Address: j.settings.AdvertiseAddress}
+	for _, b := range j.owner.Backends() {
+		r.BackendServers = append(r.BackendServers, b.Record())
+	}
+	data, err := proto.Marshal(r)
+	if err != nil {
+		j.Log().WithError(err).Error("registration cannot be encoded")
+	}
+	return data
+}
+
+// decode reads a registration. This node's own one is of its life before a
+// restart, and tells of the backend servers that still run.
+func (j *joiner) decode(key string, value []byte) (string, bool) {
+	var r wire.Registration
+	if err := proto.Unmarshal(value, &r); err != nil || r.GetAddress() == "" {
+		j.Count(`hibiscusrock_registrations_refused_total`)
+		return "", false
+	}
+	if key == j.registrar.key {
+		for _, record := range r.GetBackendServers() {
+			j.adopt(record)
+		}
+	}
+	return r.GetAddress(), true
+}
+
+// observe takes over what peers know of this host's backend servers from this
+// node's life before a restart.
+func (j *joiner) observe(r *wire.Record) {
+	record := r.GetEndpoint()
+	if record.GetNode() == j.settings.Node && r.GetEpoch() != j.members.Incarnation() {
+		j.adopt(record)
+	}
+}
+
+// adopt uses a backend server of an earlier life of this node until its own
+// heartbeats say more. A backend server that is another one by now refuses.
+func (j *joiner) adopt(record *wire.Endpoint) {
+	if j.Now().Sub(j.begun) > adoptTime || record.GetDown() {
+		return
+	}
+	if j.owner.Adopt(record) {
+		j.Log().WithField("event", "backend_server_adopted").WithField("instance", record.GetInstance()).WithField("draining", record.GetDraining()).Info("backend server of an earlier life adopted")
+	}
 }
 
 // hasJoined reports whether this node has heard from the deployment what it may
@@ -87,7 +145,26 @@
 			continue
 		}
 		pauses.Reset()
-		common.Sleep(ctx, jittered(registrationPeriod))
+		j.awaitChange(ctx)
+	}
+}
+
+// awaitChange waits until the lease has to be renewed, and writes the
+// registration again when it changes before.
+func (j *joiner) awaitChange(ctx context.Context) {
+	timer := time.NewTimer(jittered(registrationPeriod))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-j.changed:
+			if !j.registrar.update(ctx) {
+				return
+			}
+		}
 	}
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -245,6 +245,9 @@
 		step = old.GetStep() + 1
 	}
 	n.records.Set(&wire.Record{Key: key, Epoch: epoch, Step: step, Body: &wire.Record_Endpoint{Endpoint: record}})
+	if n.joiner != nil {
+		wake(n.joiner.changed)
+	}
 }
 
 // Run serves until ctx ends, then stops gracefully: no request in flight is cut
--- a/pkg/node/registrar.go
+++ b/pkg/node/registrar.go
@@ -26,15 +26,18 @@
 	*common.Common
 	registry registry
 	key      string
-	address  string
+	// encode returns what this node registers, decode the address of another
+	// node's registration.
+	encode func() []byte
+	decode func(key string, value []byte) (address string, ok bool)
 
 	mu    sync.Mutex
 	lease int64
 	found []string
 }
 
-func newRegistrar(cm *common.Common, r registry, key, address string) *registrar {
-	return &registrar{Common: cm, registry: r, key: key, address: address}
+func newRegistrar(cm *common.Common, r registry, key string, encode func() []byte, decode func(string, []byte) (string, bool)) *registrar {
+	return &registrar{Common: cm, registry: r, key: key, encode: encode, decode: decode}
 }
 
 // addresses returns the addresses that were last read.
@@ -50,9 +53,11 @@
 	if err != nil {
 		return false
 	}
-	found := make([]string, len(kvs))
-	for i, kv := range kvs {
-		found[i] = string(kv.Value)
+	var found []string
+	for _, kv := range kvs {
+		if address, ok := r.decode(kv.Key, kv.Value); ok {
+			found = append(found, address)
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -78,13 +83,21 @@
 	if err != nil {
 		return false
 	}
-	if r.registry.put(ctx, r.key, []byte(r.address), lease) != nil {
+	if r.registry.put(ctx, r.key, r.encode(), lease) != nil {
 		return false
 	}
 	r.setLease(lease)
 	return true
 }
 
+// update writes the registration again after a change of what it says.
+func (r *registrar) update(ctx context.Context) bool {
+	r.mu.Lock()
+	lease := r.lease
+	r.mu.Unlock()
+	return lease != 0 && r.registry.put(ctx, r.key, r.encode(), lease) == nil
+}
+
 func (r *registrar) setLease(lease int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/node/rollouts.go
+++ b/pkg/node/rollouts.go
@@ -93,9 +93,12 @@
 	r.mu.Lock()
 	old := r.orders[order.Service]
 	isNew := old == nil || old.order.Revision < order.Revision
-	if isNew {
+	switch {
+	case isNew:
 		r.settleEstablished(order.Service, old)
 		r.orders[order.Service] = &trackedOrder{order: order, seen: r.Now(), record: r.recorded(order)}
+	case old.order.Revision == order.Revision:
+		old.order = order
 	}
 	r.mu.Unlock()
 	if isNew {
@@ -135,7 +138,12 @@
 	switch {
 	case t == nil || t.order.Revision < said.GetOrder():
 		r.settleEstablished(said.GetService(), t)
-		order := rollout.Order{Service: said.GetService(), Version: said.GetVersion(), Revision: said.GetOrder()}
+		order := rollout.Order{
+			Service:  said.GetService(),
+			Version:  said.GetVersion(),
+			Revision: said.GetOrder(),
+			Duration: time.Duration(said.GetDurationMs()) * time.Millisecond,
+		}
 		t = &trackedOrder{order: order, seen: r.Now()}
 		r.orders[said.GetService()] = t
 	case t.order.Revision > said.GetOrder():
--- a/pkg/node/starter.go
+++ b/pkg/node/starter.go
@@ -46,7 +46,9 @@
 		put:       n.platform.Put,
 		keepAlive: n.platform.KeepAlive,
 		revoke:    n.platform.Revoke,
-	}, store.SeedKey(n.settings.DataCentre, n.settings.Node), n.settings.AdvertiseAddress)}
+	}, store.SeedKey(n.settings.DataCentre, n.settings.Node),
+		func() []byte { return []byte(n.settings.AdvertiseAddress) },
+		func(_ string, value []byte) (string, bool) { return string(value), true })}
 }
 
 // run joins through seeds until it has heard enough, then keeps the fleet
--- a/pkg/request/backends.go
+++ b/pkg/request/backends.go
@@ -172,6 +172,19 @@
 	return record.GetDraining() && !wasDraining
 }
 
+// Adopt takes a backend server over that an earlier life of this node knew,
+// unless it is known already, and reports whether it did.
+func (o *Owner) Adopt(record *wire.Endpoint) bool {
+	o.mu.RLock()
+	known := len(o.backends) > 0
+	o.mu.RUnlock()
+	if known {
+		return false
+	}
+	o.Announce(proto.Clone(record).(*wire.Endpoint))
+	return true
+}
+
 // isLate reports whether an announcement was made before the one known.
 func isLate(record, known *wire.Endpoint) bool {
 	if record.GetBornUnixMs() != known.GetBornUnixMs() {
--- a/pkg/request/call.go
+++ b/pkg/request/call.go
@@ -69,8 +69,9 @@
 		return nil, refusal
 	}
 	c := &call{w: w, ctx: r.Context(), table: table, route: route, service: service, begun: e.Now()}
-	c.deadline = c.begun.Add(e.callTimeout(r, route))
-	c.objective = c.begun.Add(route.Objective())
+	timeout, waited := e.callTimeout(r, route)
+	c.deadline = c.begun.Add(timeout)
+	c.objective = c.begun.Add(route.Objective() - waited)
 	c.request = e.newCallRequest(r, route, name, body)
 	c.request.Sequence = table.Sequence()
 	if e.ward.Blocked(c.request.GetFingerprint()) {
@@ -108,14 +109,16 @@
 	return body, nil
 }
 
-// callTimeout returns the route's timeout, or the caller's if that is shorter.
-func (e *Entry) callTimeout(r *http.Request, route *bundle.Route) time.Duration {
-	timeout := route.Timeout()
+// callTimeout returns the route's timeout, or the caller's if that is shorter;
+// and how long the caller has waited before.
+func (e *Entry) callTimeout(r *http.Request, route *bundle.Route) (timeout, waited time.Duration) {
+	timeout = route.Timeout()
 	ms, err := strconv.ParseInt(r.Header.Get(e.headers.RemainingMS), 10, 64)
-	if err == nil && ms > 0 {
-		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	if err != nil || ms <= 0 {
+		return timeout, 0
 	}
-	return timeout
+	left := time.Duration(ms) * time.Millisecond
+	return min(timeout, left), e.patience.waited(route.Name, left)
 }
 
 func (e *Entry) newCallRequest(r *http.Request, route *bundle.Route, service string, body []byte) *wire.CallRequest {
@@ -141,6 +144,7 @@
 		Fingerprint:    quarantine.Fingerprint(service, key, r.Method, target, body),
 		Priority:       uint32(route.Priority),
 		Caller:         e.caller,
+		UsualMs:        uint32(route.UsualWork().Milliseconds()),
 	}
 	if e.headers.KeepRequestID {
 		in.RequestId = r.Header.Get(e.headers.RequestID)
--- a/pkg/request/entry.go
+++ b/pkg/request/entry.go
@@ -59,15 +59,16 @@
 // Entry serves callers.
 type Entry struct {
 	*common.Common
-	node    string
-	caller  string
-	headers Headers
-	owner   *Owner
-	ward    *quarantine.Ward
-	picker  *routing.Picker
-	spread  *routing.Spread
-	budget  *Budget
-	hooks   EntryHooks
+	node     string
+	caller   string
+	headers  Headers
+	owner    *Owner
+	ward     *quarantine.Ward
+	picker   *routing.Picker
+	spread   *routing.Spread
+	budget   *Budget
+	patience *patience
+	hooks    EntryHooks
 
 	stopping atomic.Bool
 }
@@ -87,15 +88,16 @@
 // NewEntry returns an entry that runs requests for its own host on owner.
 func NewEntry(cm *common.Common, node string, owner *Owner, ward *quarantine.Ward, picker *routing.Picker, hooks EntryHooks, opts ...EntryOption) *Entry {
 	e := &Entry{
-		Common:  cm,
-		node:    node,
-		headers: DefaultHeaders(),
-		owner:   owner,
-		ward:    ward,
-		picker:  picker,
-		spread:  routing.NewSpread(rand.IntN),
-		budget:  NewBudget(cm.Now),
-		hooks:   hooks,
+		Common:   cm,
+		node:     node,
+		headers:  DefaultHeaders(),
+		owner:    owner,
+		ward:     ward,
+		picker:   picker,
+		spread:   routing.NewSpread(rand.IntN),
+		budget:   NewBudget(cm.Now),
+		patience: newPatience(),
+		hooks:    hooks,
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -271,7 +273,7 @@
 // a backend server are left out; the standby version comes last.
 func (e *Entry) choose(c *call) (routing.Choice, string, bool) {
 	name := c.request.GetService()
-	need := routing.Need{Service: name, Kind: c.route.Name, Objective: c.route.Objective()}
+	need := routing.Need{Service: name, Kind: c.route.Name, Objective: c.route.Objective(), Usual: c.route.UsualWork()}
 	shares := e.hooks.Shares(c.table, name)
 	excluded := slices.Clone(c.excluded)
 	for {
--- a/pkg/request/owner.go
+++ b/pkg/request/owner.go
@@ -142,6 +142,7 @@
 		Kind:     in.GetRoute(),
 		Priority: int(in.GetPriority()),
 		Deadline: now.Add(time.Duration(in.GetRemainingMs()) * time.Millisecond),
+		Usual:    time.Duration(in.GetUsualMs()) * time.Millisecond,
 		MaxWait:  time.Duration(in.GetMaxWaitMicros()) * time.Microsecond,
 	}
 	if in.GetObjectiveMs() != 0 {
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -52,7 +52,7 @@
 }
 
 const (
-	// defaultWork stands for the time of a kind of work that no endpoint reported yet.
+	// defaultWork stands for the time of a kind of work of which nothing is known.
 	defaultWork = 100 * time.Millisecond
 	// coldFactor is how much longer a backend server takes just after its start.
 	coldFactor = 2
@@ -80,6 +80,9 @@
 	Kind string
 	// Objective is the whole time within which an answer has its full value.
 	Objective time.Duration
+	// Usual is the time that the kind is thought to take before any was
+	// measured, or 0.
+	Usual time.Duration
 }
 
 // Choice is an endpoint for a request.
@@ -125,7 +128,7 @@
 // best would cost as much.
 func (p *Picker) best(need Need, endpoints []*fleet.Endpoint) Choice {
 	now := p.now()
-	known := p.meanWork(need.Kind, endpoints, now)
+	known := p.meanWork(need, endpoints, now)
 	var best, second Choice
 	for _, e := range endpoints {
 		c := p.cost(need, e, known, now)
@@ -144,14 +147,17 @@
 
 // meanWork returns the mean time for a kind of work over the endpoints that
 // reported one.
-func (p *Picker) meanWork(kind string, endpoints []*fleet.Endpoint, now time.Time) time.Duration {
+func (p *Picker) meanWork(need Need, endpoints []*fleet.Endpoint, now time.Time) time.Duration {
 	total, n := time.Duration(0), time.Duration(0)
 	for _, e := range endpoints {
-		if work := e.Observed().State(now, kind).Work; work > 0 {
+		if work := e.Observed().State(now, need.Kind).Work; work > 0 {
 			total += work
 			n++
 		}
 	}
+	if n == 0 && need.Usual > 0 {
+		return need.Usual
+	}
 	if n == 0 {
 		return defaultWork
 	}
