--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -190,7 +190,7 @@
 // refuse decides whether a request may join the queue.
 func (g *Gate) refuse(w *waiter, now time.Time) *verdict.Refusal {
 	wait := g.waitOf(w, now)
-	if !w.isOnTime(now.Add(wait)) {
+	if w.cost(now.Add(wait)) > g.meanRunning(now) && !w.isOnTime(now.Add(wait)) {
 		wait = g.lateWait(wait, now)
 	}
 	late := now.Add(wait + w.expected).Sub(w.work.Deadline)
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -58,16 +58,29 @@
 	return start.Add(w.expected).After(w.work.Deadline)
 }
 
+// lateCost is how much more work late requests count for, since their answers
+// are worth that much less.
+const lateCost = 4
+
+// cost returns the work that the request takes for the worth of its answer.
+func (w *waiter) cost(start time.Time) time.Duration {
+	if w.isOnTime(start) {
+		return w.expected
+	}
+	return lateCost * w.expected
+}
+
 // goesBefore reports whether a is served before b: the more urgent first; then
-// work that still meets its objective, since late work is worth less however
-// late it is; then the earliest objective.
+// by objective as long as both meet it. A late request goes behind those on
+// time, unless it is so short that they hardly notice: a lookup that another
+// request waits for.
 func (w *waiter) goesBefore(other *waiter, now time.Time) bool {
 	if w.work.Priority != other.work.Priority {
 		return w.work.Priority < other.work.Priority
 	}
-	onTime, otherOnTime := w.isOnTime(now), other.isOnTime(now)
-	if onTime != otherOnTime {
-		return onTime
+	cost, otherCost := w.cost(now), other.cost(now)
+	if cost != otherCost && !(w.isOnTime(now) && other.isOnTime(now)) {
+		return cost < otherCost
 	}
 	return w.work.objective().Before(other.work.objective())
 }
--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -32,6 +32,9 @@
 	// maxIdleConns follows from the slots of usual backend servers.
 	maxIdleConns = 32
 	readBuffer   = 4 << 10
+	// For cautiousTime after a crossed answer, connections rest for restTime.
+	cautiousTime = 10 * time.Second
+	restTime     = 20 * time.Millisecond
 	// inlineBody is the size up to which a body is written before the answer is read.
 	inlineBody = 32 << 10
 )
@@ -48,6 +51,8 @@
 	Body   []byte
 	// Once is set when the request may run once only.
 	Once bool
+	// Fresh asks for a connection of its own.
+	Fresh bool
 }
 
 // Client keeps the connections to one backend server.
@@ -59,6 +64,8 @@
 	idle   []*conn
 	closed bool
 	opened uint64
+	// crossedAt is when an answer to another request was last met.
+	crossedAt time.Time
 }
 
 // NewClient returns a client of the backend server at address, and its clean-up function.
@@ -98,7 +105,7 @@
 // Do sends a request and returns the head of its answer; the caller closes the
 // answer. An error that wraps ErrNotSent means that the request cannot have run.
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, error) {
-	cn, err := c.take(ctx, r.Once)
+	cn, err := c.connect(ctx, r)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
@@ -112,6 +119,13 @@
 	return &Answer{client: c, conn: cn, resp: resp, stop: stop}, nil
 }
 
+func (c *Client) connect(ctx context.Context, r *Request) (*conn, error) {
+	if r.Fresh {
+		return c.dial(ctx)
+	}
+	return c.take(ctx, r.Once)
+}
+
 // take returns an idle connection that is still sound, or a new one.
 func (c *Client) take(ctx context.Context, once bool) (*conn, error) {
 	limit := maxIdle
@@ -130,6 +144,8 @@
 	}
 }
 
+// takeIdle returns the connection that was used last, or the one that has
+// rested longest after a crossed answer.
 func (c *Client) takeIdle() *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -138,10 +154,25 @@
 		return nil
 	}
 	cn := c.idle[last]
+	if now := c.now(); !c.crossedAt.IsZero() && now.Sub(c.crossedAt) < cautiousTime {
+		if now.Sub(c.idle[0].lastUsed) < restTime {
+			return nil
+		}
+		cn = c.idle[0]
+		copy(c.idle, c.idle[1:])
+	}
 	c.idle = c.idle[:last]
 	return cn
 }
 
+// noteCrossed lets connections rest before they are used again, so that an
+// answer which nobody asked for arrives before the next request goes out.
+func (c *Client) noteCrossed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crossedAt = c.now()
+}
+
 func (c *Client) dial(ctx context.Context) (*conn, error) {
 	raw, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", c.address)
 	if err != nil {
@@ -197,8 +228,13 @@
 }
 
 // Next drops this answer, which belongs to another request, and returns the
-// head of the one that follows on the same connection.
-func (a *Answer) Next() (*Answer, error) {
+// head of the one that follows on the same connection within wait; 0 waits as
+// long as the request's context allows.
+func (a *Answer) Next(wait time.Duration) (*Answer, error) {
+	a.client.noteCrossed()
+	if wait > 0 {
+		_ = a.conn.raw.SetReadDeadline(a.client.now().Add(wait))
+	}
 	_, err := io.Copy(io.Discard, a)
 	if err == nil && a.resp.Close {
 		err = io.ErrUnexpectedEOF
@@ -212,6 +248,7 @@
 		a.Close()
 		return nil, err
 	}
+	_ = a.conn.raw.SetReadDeadline(time.Time{})
 	return &Answer{client: a.client, conn: a.conn, resp: resp, stop: a.stop}, nil
 }
 
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -19,9 +19,15 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
-// maxCrossed bounds the answers to other requests that are dropped before the
-// connection is given up.
-const maxCrossed = 4
+const (
+	// maxCrossed bounds the answers to other requests that are dropped before the
+	// connection is given up.
+	maxCrossed = 4
+	// The own answer behind another one is awaited for a little longer than the
+	// work usually takes.
+	shortestCrossedWait = 50 * time.Millisecond
+	crossedWaitFactor   = 2
+)
 
 var errCrossed = errors.New("the answers belong to other requests")
 
@@ -91,10 +97,22 @@
 	return answer.Header().Get(name) != "" || answer.Status() == http.StatusMisdirectedRequest
 }
 
-// ownAnswer returns the head of the answer to this request. Answers to other
-// requests, left over on a reused connection, are dropped.
+// ownAnswer returns the head of the answer to this request. An answer to
+// another request, left over on a reused connection, is dropped; should the
+// backend server not go on with the connection, an idempotent request goes out
+// once more on one of its own.
 func (r *run) ownAnswer(ctx context.Context) (*backend.Answer, error) {
-	answer, err := r.backend.client.Do(ctx, r.newRequest())
+	req := r.newRequest()
+	answer, err := r.ownAnswerOf(ctx, req)
+	if errors.Is(err, errCrossed) && r.in.GetIdempotent() && ctx.Err() == nil {
+		req.Fresh = true
+		return r.ownAnswerOf(ctx, req)
+	}
+	return answer, err
+}
+
+func (r *run) ownAnswerOf(ctx context.Context, req *backend.Request) (*backend.Answer, error) {
+	answer, err := r.backend.client.Do(ctx, req)
 	for crossed := 0; err == nil; crossed++ {
 		if r.isOwn(answer) {
 			return answer, nil
@@ -104,11 +122,22 @@
 			answer.Close()
 			return nil, errCrossed
 		}
-		answer, err = answer.Next()
+		if answer, err = answer.Next(r.crossedWait()); err != nil {
+			return nil, errors.Join(errCrossed, err)
+		}
 	}
 	return nil, err
 }
 
+// crossedWait returns how long the own answer is awaited behind one that
+// belongs to another request. One that must not run again is awaited to the end.
+func (r *run) crossedWait() time.Duration {
+	if !r.in.GetIdempotent() {
+		return 0
+	}
+	return shortestCrossedWait + crossedWaitFactor*r.backend.gate.Forecast(r.work).Work
+}
+
 // isOwn reports whether an answer belongs to this request, as far as the
 // backend server repeats the request's identifier.
 func (r *run) isOwn(answer *backend.Answer) bool {
