--- a/pkg/node/heartbeats.go
+++ b/pkg/node/heartbeats.go
@@ -35,5 +35,7 @@
 func (n *Node) tellOthers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveNotice)
 	defer cancel()
+	registered := loop(ctx, func(ctx context.Context) { n.joiner.registrar.update(ctx) })
 	n.gossiper.round(ctx, pushFanout)
+	<-registered
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -238,6 +238,7 @@
 
 // announce spreads a backend server of this host.
 func (n *Node) announce(record *wire.Endpoint) {
+	record.Node, record.DataCentre = n.settings.Node, n.settings.DataCentre
 	key := fleet.EndpointKey(n.settings.Node, record.GetInstance())
 	epoch := n.members.Incarnation()
 	step := uint64(0)
