--- a/pkg/fleet/observed.go
+++ b/pkg/fleet/observed.go
@@ -22,7 +22,8 @@
 type Report struct {
 	// Busy counts the requests that run or wait there.
 	Busy int
-	// Wait is the time that one more request of the kind would wait for a slot.
+	// Wait is the time that one more request of the kind and priority would wait
+	// for a slot.
 	Wait time.Duration
 	// Work is the time that a request of the kind takes.
 	Work time.Duration
@@ -39,10 +40,20 @@
 	report     Report
 	reportedAt time.Time
 	work       map[string]time.Duration
+	// waits holds the reported wait by the priority of the request.
+	waits      map[int]reportedWait
 	avoidUntil time.Time
 }
 
-func newObserved() *Observed { return &Observed{work: make(map[string]time.Duration)} }
+// reportedWait is the wait for a slot that an owner node reported.
+type reportedWait struct {
+	wait time.Duration
+	at   time.Time
+}
+
+func newObserved() *Observed {
+	return &Observed{work: make(map[string]time.Duration), waits: make(map[int]reportedWait)}
+}
 
 // Begin counts a call that this node sends to the endpoint.
 func (o *Observed) Begin() {
@@ -73,13 +84,14 @@
 	return now.Before(o.avoidUntil)
 }
 
-// Observe keeps an owner node's report on a request of the given kind.
-func (o *Observed) Observe(now time.Time, kind string, report Report) {
+// Observe keeps an owner node's report on a request of the given kind and priority.
+func (o *Observed) Observe(now time.Time, kind string, priority int, report Report) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.report = report
 	o.reportedAt = now
 	o.sent = 0
+	o.waits[priority] = reportedWait{wait: report.Wait, at: now}
 	o.avoidUntil = time.Time{}
 	if _, ok := o.work[kind]; report.Work > 0 && (ok || len(o.work) < maxWorkKinds) {
 		o.work[kind] = report.Work
@@ -99,21 +111,38 @@
 }
 
 // State returns what this node believes of the endpoint for a kind of work.
-func (o *Observed) State(now time.Time, kind string) State {
+func (o *Observed) State(now time.Time, kind string, priority int) State {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := State{Busy: o.inFlight, Work: o.work[kind], Age: -1}
 	if o.reportedAt.IsZero() {
 		return s
 	}
-	s.Age = now.Sub(o.reportedAt)
-	left := halved(s.Age, reportHalfLife)
-	s.Wait = time.Duration(float64(o.report.Wait) * left)
-	s.Busy = max(s.Busy, int(float64(o.report.Busy)*left)+o.sent)
-	s.Failing = o.report.Failing * halved(s.Age, failureHalfLife)
+	age := now.Sub(o.reportedAt)
+	s.Busy = max(s.Busy, int(float64(o.report.Busy)*halved(age, reportHalfLife))+o.sent)
+	s.Failing = o.report.Failing * halved(age, failureHalfLife)
+	s.Wait, s.Age = o.waitOf(now, priority)
 	return s
 }
 
+// waitOf returns the wait that a request of a priority meets, and the age of
+// the report that says so; the age is negative without one. Less urgent
+// requests wait longer, so that their reports tell nothing.
+func (o *Observed) waitOf(now time.Time, priority int) (wait, age time.Duration) {
+	age = -1
+	for p, r := range o.waits {
+		if p > priority {
+			continue
+		}
+		since := now.Sub(r.at)
+		left := time.Duration(float64(r.wait) * halved(since, reportHalfLife))
+		if left > wait || age < 0 {
+			wait, age = left, since
+		}
+	}
+	return wait, age
+}
+
 // halved returns the part that is left of a value after some time.
 func halved(age, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(age) / float64(halfLife))
--- a/pkg/request/entry.go
+++ b/pkg/request/entry.go
@@ -273,7 +273,7 @@
 // a backend server are left out; the standby version comes last.
 func (e *Entry) choose(c *call) (routing.Choice, string, bool) {
 	name := c.request.GetService()
-	need := routing.Need{Service: name, Kind: c.route.Name, Objective: c.route.Objective(), Usual: c.route.UsualWork()}
+	need := routing.Need{Service: name, Kind: c.route.Name, Priority: c.route.Priority, Objective: c.route.Objective(), Usual: c.route.UsualWork()}
 	shares := e.hooks.Shares(c.table, name)
 	excluded := slices.Clone(c.excluded)
 	for {
@@ -314,7 +314,7 @@
 			return nil
 		}
 		if !c.started {
-			endpoint.Observed().Observe(e.Now(), c.route.Name, reportOf(answer))
+			endpoint.Observed().Observe(e.Now(), c.route.Name, c.route.Priority, reportOf(answer))
 			if refusal = e.refusalOf(c, answer); refusal != nil {
 				return nil
 			}
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -78,6 +78,8 @@
 	Version string
 	// Kind groups requests of like cost.
 	Kind string
+	// Priority ranks the request; 0 is the most urgent.
+	Priority int
 	// Objective is the whole time within which an answer has its full value.
 	Objective time.Duration
 	// Usual is the time that the kind is thought to take before any was
@@ -150,7 +152,7 @@
 func (p *Picker) meanWork(need Need, endpoints []*fleet.Endpoint, now time.Time) time.Duration {
 	total, n := time.Duration(0), time.Duration(0)
 	for _, e := range endpoints {
-		if work := e.Observed().State(now, need.Kind).Work; work > 0 {
+		if work := e.Observed().State(now, need.Kind, need.Priority).Work; work > 0 {
 			total += work
 			n++
 		}
@@ -165,7 +167,7 @@
 }
 
 func (p *Picker) cost(need Need, e *fleet.Endpoint, meanWork time.Duration, now time.Time) Choice {
-	state := e.Observed().State(now, need.Kind)
+	state := e.Observed().State(now, need.Kind, need.Priority)
 	work := state.Work
 	if work == 0 {
 		work = meanWork
