--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -20,7 +20,7 @@
 	// deadline when a slot is free: work varies, and the slot costs nothing.
 	idleSlotFactor = 2
 	// leastSpare bounds the wait that is foreseen for late work.
-	leastSpare = 0.5
+	leastSpare = 0.05
 )
 
 // Outcome is how an admitted request ended.
