Log lines from a closed list, histograms, and explain

Cause: on-call engineers have logs and metrics only, and the lines had no names to search for. Change: pkg/event lists every kind of line, docs/EVENTS.md is made of it; the owner tells of refusals, unknown outcomes and failures; counters gain histograms of request, attempt, queue wait, backend server and store call; 'hibiscusrock explain ID' joins the logs of several hosts into a story. The log writer drops what nobody reads and tells how much (TestLogWriterNeverWaits).

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	$(GO) test -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZ_TIME) ./pkg/bundle
 	$(GO) test -run '^$$' -fuzz '^FuzzOpenAndVerify$$' -fuzztime $(FUZZ_TIME) ./pkg/bundle
 	$(GO) test -run '^$$' -fuzz '^FuzzAccept$$' -fuzztime $(FUZZ_TIME) ./pkg/peer
+	$(GO) test -run '^$$' -fuzz '^FuzzDecoders$$' -fuzztime $(FUZZ_TIME) ./platform
 
 # Removes one guard at a time in a scratch copy and expects its test to fail.
 prove:
@@ -40,13 +41,14 @@
 
 lint:
 	$(GO) vet ./...
-	@unformatted=$$($(GOFUMPT) -l cmd pkg); if [ -n "$$unformatted" ]; then echo "run 'make format' on:"; echo "$$unformatted"; exit 1; fi
+	@unformatted=$$($(GOFUMPT) -l cmd pkg platform); if [ -n "$$unformatted" ]; then echo "run 'make format' on:"; echo "$$unformatted"; exit 1; fi
 	$(STATICCHECK) ./...
 	$(REVIVE) -config revive.toml -set_exit_status -exclude ./pkg/wire/... ./...
 
 format:
-	$(GOFUMPT) -w cmd pkg
+	$(GOFUMPT) -w cmd pkg platform
 
 generate:
 	$(GO) generate ./...
 	$(GO) run ./cmd/hibiscusrock config reference > docs/SETTINGS.md
+	$(GO) run ./cmd/hibiscusrock config events > docs/EVENTS.md
--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -8,6 +8,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 )
 
 // Common carries the logger, the metrics and the clock of one process.
@@ -52,6 +54,9 @@
 // Log returns the logger.
 func (c *Common) Log() *logrus.Entry { return c.log }
 
+// Event returns the logger for a line of the given kind.
+func (c *Common) Event(name event.Name) *logrus.Entry { return c.log.WithField("event", name) }
+
 // Now returns the time of the process clock.
 func (c *Common) Now() time.Time { return c.now() }
 
@@ -61,6 +66,12 @@
 // Count adds one to the counter of the given full name, labels included.
 func (c *Common) Count(name string) { c.set.GetOrCreateCounter(name).Inc() }
 
+// Observe adds the time since a moment to the histogram of the given full name,
+// in seconds.
+func (c *Common) Observe(name string, since time.Time) {
+	c.set.GetOrCreateHistogram(name).Update(c.now().Sub(since).Seconds())
+}
+
 // Sleep waits for d, or until ctx ends; then it returns false.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/pkg/common/logwriter.go
+++ b/pkg/common/logwriter.go
@@ -6,6 +6,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 )
 
 const (
@@ -83,7 +85,7 @@
 
 func (l *LogWriter) write(w io.Writer, line []byte) {
 	if n := l.dropped.Swap(0); n > 0 {
-		_, _ = fmt.Fprintf(w, "{\"event\":\"log_lines_dropped\",\"lines\":%d}\n", n)
+		_, _ = fmt.Fprintf(w, "{\"event\":%q,\"lines\":%d}\n", event.LogLinesDropped, n)
 	}
 	_, _ = w.Write(line)
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/config"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/node"
 )
 
@@ -87,7 +88,7 @@
 			case <-signals:
 			}
 			_, err := config.Load(path)
-			log.WithField("event", "settings_reloaded").WithError(err).Info("settings read again")
+			log.WithField("event", event.SettingsReloaded).WithError(err).Info("settings read again")
 		}
 	}()
 	return done
--- a/pkg/distribution/enforce.go
+++ b/pkg/distribution/enforce.go
@@ -1,5 +1,7 @@
 package distribution
 
+import "github.com/hibiscusrock/hibiscusrock/pkg/event"
+
 // Heard records that a node holds a sequence; local says whether it is of this
 // data centre.
 func (h *Holder) Heard(node string, sequence uint64, local bool) {
@@ -50,7 +52,7 @@
 		return
 	}
 	h.Count(`hibiscusrock_release_enforced_total`)
-	h.Log().WithField("sequence", next.document.Sequence()).Info("release in force")
+	h.Event(event.ConfigurationInForce).WithField("sequence", next.document.Sequence()).Info("release in force")
 	h.onEnforced(next.table)
 }
 
--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -122,7 +123,7 @@
 	}
 	if !sameAddress {
 		m.Count(`hibiscusrock_member_duplicate_names_total`)
-		m.Log().WithField("other", member.GetAddress()).Error("another node uses this node's name; give each node its own name in the settings")
+		m.Event(event.PeerNameTaken).WithField("other", member.GetAddress()).Error("another node uses this node's name; give each node its own name in the settings")
 	}
 	m.Count(`hibiscusrock_member_refutations_total`)
 	m.incarnation.Store(max(m.incarnation.Load(), r.GetEpoch()))
@@ -144,7 +145,7 @@
 	member := &wire.Member{Node: node, DataCentre: old.GetDataCentre(), Address: old.GetAddress(), State: to}
 	if m.store.Set(m.newRecord(member, r.GetEpoch(), r.GetStep()+1)) {
 		m.Count(`hibiscusrock_member_accusations_total{state="` + to.String() + `"}`)
-		m.Log().WithField("member", node).WithField("state", to.String()).Info("member changed state")
+		m.Event(event.PeerChanged).WithField("member", node).WithField("state", to.String()).Info("member changed state")
 	}
 }
 
--- a/pkg/node/connected.go
+++ b/pkg/node/connected.go
@@ -12,6 +12,7 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/distribution"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
 	"github.com/hibiscusrock/hibiscusrock/pkg/request"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
@@ -154,12 +155,12 @@
 	if fault.Is(err, fault.KindStale) {
 		return
 	}
-	fields := logrus.Fields{"event": "configuration_offered", "revision": revision, "from": from, "sequence": n.held()}
+	fields := logrus.Fields{"revision": revision, "from": from, "sequence": n.held()}
 	if err != nil {
-		n.Log().WithFields(fields).WithError(err).Warn("configuration refused")
+		n.Event(event.ConfigurationRefused).WithFields(fields).WithError(err).Warn("configuration refused")
 		return
 	}
-	n.Log().WithFields(fields).Info("configuration in force")
+	n.Event(event.ConfigurationInForce).WithFields(fields).Info("configuration in force")
 }
 
 func (n *Node) snapshotEnforced(*routing.Table) { n.gossiper.wakeRelease() }
@@ -172,7 +173,7 @@
 		Ready:     n.isReady,
 		Refused: func(reason string, err error) {
 			n.Count(`hibiscusrock_announcements_refused_total{reason="` + reason + `"}`)
-			n.Log().WithField("event", "announcement_refused").WithField("reason", reason).WithError(err).Warn("announcement refused")
+			n.Event(event.AnnouncementRefused).WithField("reason", reason).WithError(err).Warn("announcement refused")
 		},
 	}
 }
--- a/pkg/node/drive.go
+++ b/pkg/node/drive.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
@@ -135,7 +136,7 @@
 	state.Since = r.Now()
 	d.pilot.Resume(state)
 	r.Count(`hibiscusrock_versions_taken_back_total`)
-	r.Log().WithFields(logrus.Fields{"event": "version_taken_back", "service": t.order.Service, "version": t.order.Version, "cause": d.cause}).Warn("version taken back")
+	r.Event(event.VersionTakenBack).WithFields(logrus.Fields{"service": t.order.Service, "version": t.order.Version, "cause": d.cause}).Warn("version taken back")
 }
 
 // say spreads the steward's decision, and from time to time that it still
@@ -217,7 +218,7 @@
 	}
 	content, err := r.link.EncodeStatus(rollout.Status{Service: t.order.Service, Version: t.order.Version, State: state})
 	if err != nil {
-		r.Log().WithError(err).Error("status cannot be encoded")
+		r.Event(event.StatusFailed).WithError(err).Error("status cannot be encoded")
 		return false
 	}
 	written, kv, err := r.link.KV.Swap(ctx, revision, store.Write{Key: r.link.StatusPrefix + t.order.Service, Value: content})
@@ -234,6 +235,6 @@
 		return d.told != told
 	}
 	d.told = state
-	r.Log().WithFields(logrus.Fields{"event": "status_written", "service": t.order.Service, "version": t.order.Version, "state": state, "revision": kv.ModRevision, "cause": d.cause}).Info("status written")
+	r.Event(event.StatusWritten).WithFields(logrus.Fields{"service": t.order.Service, "version": t.order.Version, "state": state, "revision": kv.ModRevision, "cause": d.cause}).Info("status written")
 	return true
 }
--- a/pkg/node/host.go
+++ b/pkg/node/host.go
@@ -219,6 +219,20 @@
 	set := n.Metrics()
 	set.NewGauge(`hibiscusrock_release_held_sequence`, func() float64 { return float64(n.held()) })
 	set.NewGauge(`hibiscusrock_release_enforced_sequence`, func() float64 { return float64(n.table().Sequence()) })
+	set.NewGauge(`hibiscusrock_peers_alive`, func() float64 { return float64(n.countAlivePeers()) })
+	set.NewGauge(`hibiscusrock_requests_in_flight`, func() float64 {
+		inFlight := 0
+		for _, b := range n.owner.Backends() {
+			inFlight += b.Gate().InFlight()
+		}
+		return float64(inFlight)
+	})
+	set.NewGauge(`hibiscusrock_orders_open`, func() float64 {
+		if n.rollouts == nil {
+			return 0
+		}
+		return float64(len(n.rollouts.open()))
+	})
 	set.NewGauge(`hibiscusrock_members`, func() float64 { return float64(n.members.Len()) })
 	set.NewGauge(`hibiscusrock_records`, func() float64 { return float64(n.records.Len()) })
 	set.NewGauge(`hibiscusrock_control_sent_bytes`, func() float64 {
--- a/pkg/node/joiner.go
+++ b/pkg/node/joiner.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -69,7 +70,7 @@
 	}
 	data, err := proto.Marshal(r)
 	if err != nil {
-		j.Log().WithError(err).Error("registration cannot be encoded")
+		j.Event(event.RegistrationFailed).WithError(err).Error("registration cannot be encoded")
 	}
 	return data
 }
@@ -106,7 +107,7 @@
 		return
 	}
 	if j.owner.Adopt(record) {
-		j.Log().WithField("event", "backend_server_adopted").WithField("instance", record.GetInstance()).WithField("draining", record.GetDraining()).Info("backend server of an earlier life adopted")
+		j.Event(event.BackendServerAdopted).WithField("instance", record.GetInstance()).WithField("draining", record.GetDraining()).Info("backend server of an earlier life adopted")
 	}
 }
 
@@ -194,9 +195,9 @@
 	if !changed {
 		return
 	}
-	log := j.Log().WithField("event", "store_lost")
+	log := j.Event(event.StoreLost)
 	if reachable {
-		log = j.Log().WithField("event", "store_reached")
+		log = j.Event(event.StoreReached)
 	}
 	log.WithError(err).Info("store reachability changed")
 }
--- a/pkg/node/moves.go
+++ b/pkg/node/moves.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/catalog"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
@@ -270,7 +271,7 @@
 		return
 	}
 	m.Count(`hibiscusrock_versions_taken_back_total`)
-	m.Log().WithField("service", halt.GetService()).WithField("version", halt.GetVersion()).WithField("cause", halt.GetCause()).
+	m.Event(event.VersionTakenBack).WithField("service", halt.GetService()).WithField("version", halt.GetVersion()).WithField("cause", halt.GetCause()).
 		WithField("route", halt.GetRoute()).WithField("figures", halt.GetFigures()).Warn("version taken back")
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/config"
 	"github.com/hibiscusrock/hibiscusrock/pkg/distribution"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fleet"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
@@ -208,7 +209,7 @@
 }
 
 func (n *Node) releaseHeld(document *bundle.Document) {
-	n.Log().WithField("sequence", document.Sequence()).Info("release held")
+	n.Event(event.ReleaseHeld).WithField("sequence", document.Sequence()).Info("release held")
 	n.gossiper.wakeRelease()
 }
 
@@ -264,7 +265,7 @@
 	}
 	loops := n.startLoops(background)
 	n.ready.Store(true)
-	n.Log().WithField("event", "node_started").Info("node started")
+	n.Event(event.NodeStarted).WithField("sequence", n.held()).Info("node started")
 	err = waitForEnd(ctx, ended)
 	n.ready.Store(false)
 	n.stop(callers)
@@ -273,7 +274,7 @@
 		<-loop
 	}
 	_ = host.Close()
-	n.Log().WithField("event", "node_stopped").Info("node stopped")
+	n.Event(event.NodeStopped).Info("node stopped")
 	return err
 }
 
@@ -342,7 +343,7 @@
 // stop drains this node: others hear of it first, then callers' requests and
 // those of other nodes run to their end.
 func (n *Node) stop(callers *http.Server) {
-	n.Log().WithField("event", "node_stopping").Info("node stopping")
+	n.Event(event.NodeStopping).Info("node stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout()-stopReserve)
 	defer cancel()
 	n.entry.BeginStop()
@@ -355,7 +356,7 @@
 		go func() {
 			defer wg.Done()
 			if err := stop(ctx); err != nil {
-				n.Log().WithError(err).Warn("requests were still in flight at the stop timeout")
+				n.Event(event.StopTimedOut).WithError(err).Warn("requests were still in flight at the stop timeout")
 			}
 		}()
 	}
--- a/pkg/node/registrar.go
+++ b/pkg/node/registrar.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 )
 
@@ -76,7 +77,7 @@
 		if alive || err != nil {
 			return alive
 		}
-		r.Log().WithField("event", "registration_lapsed").Warn("registration lapsed")
+		r.Event(event.RegistrationLapsed).Warn("registration lapsed")
 		r.setLease(0)
 	}
 	lease, err := r.registry.grant(ctx, seedLease)
--- a/pkg/node/rollouts.go
+++ b/pkg/node/rollouts.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
 	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
@@ -86,7 +87,7 @@
 	order, err := r.link.DecodeOrder(kv.Value)
 	if err != nil {
 		r.Count(`hibiscusrock_orders_refused_total`)
-		r.Log().WithField("event", "order_refused").WithField("key", kv.Key).WithError(err).Warn("order refused")
+		r.Event(event.OrderRefused).WithField("key", kv.Key).WithError(err).Warn("order refused")
 		return
 	}
 	order.Revision = kv.ModRevision
@@ -102,8 +103,8 @@
 	}
 	r.mu.Unlock()
 	if isNew {
-		r.Log().WithFields(logrus.Fields{
-			"event": "order_seen", "service": order.Service, "version": order.Version, "revision": order.Revision, "duration_ms": order.Duration.Milliseconds(),
+		r.Event(event.OrderSeen).WithFields(logrus.Fields{
+			"service": order.Service, "version": order.Version, "revision": order.Revision, "duration_ms": order.Duration.Milliseconds(),
 		}).Info("order seen")
 		wake(r.woken)
 	}
@@ -154,8 +155,8 @@
 		return
 	}
 	if t.record.GetState() != said.GetState() || t.record.GetPermille() != said.GetPermille() {
-		r.Log().WithFields(logrus.Fields{
-			"event": "share_changed", "service": said.GetService(), "version": said.GetVersion(), "permille": said.GetPermille(),
+		r.Event(event.ShareChanged).WithFields(logrus.Fields{
+			"service": said.GetService(), "version": said.GetVersion(), "permille": said.GetPermille(),
 			"state": said.GetState().String(), "cause": said.GetCause(), "steward": said.GetNode(), "epoch": record.GetEpoch(), "step": record.GetStep(),
 		}).Info("share changed")
 	}
--- a/pkg/node/shares.go
+++ b/pkg/node/shares.go
@@ -6,6 +6,7 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/catalog"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -66,7 +67,7 @@
 		Stage:       uint64(state.Stage),
 		SinceUnixMs: state.Since.UnixMilli(),
 	}
-	m.Log().WithField("service", move.GetService()).WithField("permille", state.Permille).WithField("note", state.Note).Info("share decided")
+	m.Event(event.ShareChanged).WithField("service", move.GetService()).WithField("permille", state.Permille).WithField("note", state.Note).Info("share decided")
 	if !m.records.Set(&wire.Record{Key: key, Epoch: epoch, Step: step, Body: &wire.Record_Share{Share: share}}) {
 		m.steward.standDown("a newer steward decides")
 	}
--- a/pkg/node/sources.go
+++ b/pkg/node/sources.go
@@ -6,6 +6,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/catalog"
 	"github.com/hibiscusrock/hibiscusrock/pkg/distribution"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
@@ -29,7 +30,7 @@
 	defer cancel()
 	err := n.holder.Offer(ctx, signed, source)
 	if err != nil && !fault.Is(err, fault.KindStale) {
-		n.Log().WithError(err).Warn("release refused")
+		n.Event(event.ConfigurationRefused).WithError(err).Warn("release refused")
 	}
 }
 
--- a/pkg/node/starter.go
+++ b/pkg/node/starter.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 )
 
@@ -152,7 +153,7 @@
 	}
 	s.mu.Unlock()
 	if ready {
-		s.Log().WithField("floor", floor).Info("node joined")
+		s.Event(event.NodeStarted).WithField("sequence", floor).Info("node joined")
 		s.holder.Start(floor)
 	}
 }
--- a/pkg/node/steward.go
+++ b/pkg/node/steward.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 )
 
@@ -89,7 +90,7 @@
 	}
 	s.lease = lease
 	s.epoch.Store(uint64(kv.ModRevision))
-	s.Log().WithField("event", "steward_elected").WithField("epoch", kv.ModRevision).Info("steward elected")
+	s.Event(event.StewardElected).WithField("epoch", kv.ModRevision).Info("steward elected")
 }
 
 func (s *steward) renew(ctx context.Context) {
@@ -102,7 +103,7 @@
 // standDown ends this node's decisions.
 func (s *steward) standDown(cause string) {
 	s.Count(`hibiscusrock_steward_stood_down_total`)
-	s.Log().WithField("event", "steward_stood_down").WithField("cause", cause).Info("no longer steward")
+	s.Event(event.StewardStoodDown).WithField("cause", cause).Info("no longer steward")
 	s.lease = 0
 	s.epoch.Store(0)
 	s.election.stoodDown()
--- a/pkg/operator/bundles.go
+++ b/pkg/operator/bundles.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/catalog"
 	"github.com/hibiscusrock/hibiscusrock/pkg/config"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
 	"github.com/hibiscusrock/hibiscusrock/pkg/keys"
 )
@@ -288,5 +289,9 @@
 			_, err := fmt.Fprint(o.out, config.Reference())
 			return err
 		}},
+		{Name: "events", Usage: "print the reference of log lines in Markdown", Action: func(context.Context, *cli.Command) error {
+			_, err := fmt.Fprint(o.out, event.Reference())
+			return err
+		}},
 	}}
 }
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -87,7 +87,7 @@
 			}
 			return ctx, nil
 		},
-		Commands: []*cli.Command{o.keysCommand(), o.bundleCommand(), o.rolloutCommand(), o.fleetCommand(), o.configCommand()},
+		Commands: []*cli.Command{o.keysCommand(), o.bundleCommand(), o.rolloutCommand(), o.fleetCommand(), o.configCommand(), o.explainCommand()},
 	}
 }
 
--- a/pkg/request/backends.go
+++ b/pkg/request/backends.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/admission"
 	"github.com/hibiscusrock/hibiscusrock/pkg/backend"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -135,7 +136,7 @@
 		b.gate.Open()
 	}
 	if changed {
-		o.Log().WithField("instance", record.GetInstance()).WithField("service", record.GetService()).WithField("version", record.GetVersion()).WithField("draining", record.GetDraining()).Info("backend server changed")
+		o.Event(event.BackendServerChanged).WithField("instance", record.GetInstance()).WithField("number", record.GetNumber()).WithField("service", record.GetService()).WithField("version", record.GetVersion()).WithField("draining", record.GetDraining()).Info("backend server changed")
 		o.hooks.Announce(record)
 	}
 }
@@ -236,7 +237,7 @@
 	b.mu.Unlock()
 	fell()
 	o.Count(`hibiscusrock_backend_servers_down_total`)
-	o.Log().WithField("instance", record.GetInstance()).Warn("backend server is down")
+	o.Event(event.BackendServerDown).WithField("instance", record.GetInstance()).Warn("backend server is down")
 	o.hooks.Announce(record)
 	return true
 }
--- a/pkg/request/call.go
+++ b/pkg/request/call.go
@@ -40,6 +40,8 @@
 	reached int
 	// started is set once the head of the answer has gone to the caller.
 	started bool
+	// status is the status that the caller got.
+	status int
 	// mayHaveRun is set once an attempt ended without a verdict of not run.
 	mayHaveRun bool
 	// failed is a backend server's own failure, which the caller gets unless
@@ -195,5 +197,6 @@
 	header.Set(verdict.Header, string(verdict.FromWire(answer.GetVerdict())))
 	header.Set(versionHeader, c.request.GetVersion())
 	header.Set(sequenceHeader, strconv.FormatUint(c.request.GetSequence(), 10))
-	c.w.WriteHeader(int(answer.GetStatus()))
+	c.status = int(answer.GetStatus())
+	c.w.WriteHeader(c.status)
 }
--- a/pkg/request/entry.go
+++ b/pkg/request/entry.go
@@ -71,6 +71,7 @@
 	hooks    EntryHooks
 
 	stopping atomic.Bool
+	served   atomic.Uint64
 }
 
 // EntryOption changes an Entry under construction.
@@ -108,13 +109,16 @@
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.Count(`hibiscusrock_requests_total`)
+	begun := e.Now()
 	c, refusal := e.newCall(w, r)
 	if refusal == nil {
 		refusal = e.attempt(c)
 	}
 	if refusal == nil {
+		e.Observe(`hibiscusrock_request_seconds{outcome="served"}`, begun)
 		return
 	}
+	e.Observe(`hibiscusrock_request_seconds{outcome="refused"}`, begun)
 	e.Count(`hibiscusrock_refusals_total{reason="` + string(refusal.Reason()) + `",verdict="` + string(refusal.Verdict()) + `"}`)
 	e.logRefusal(r, c, refusal)
 	if c != nil && c.started {
@@ -155,6 +159,7 @@
 	for n := 1; ; n++ {
 		refusal := e.try(c)
 		if refusal == nil {
+			e.logServed(c, n)
 			return nil
 		}
 		if last != nil && refusal.Reason() == verdict.NoBackendServer {
@@ -244,6 +249,7 @@
 	endpoint.Observed().Begin()
 	refusal := e.send(c, endpoint)
 	endpoint.Observed().End()
+	e.Observe(`hibiscusrock_attempt_seconds`, now)
 	return e.settle(c, endpoint, version, refusal)
 }
 
--- a/pkg/request/log.go
+++ b/pkg/request/log.go
@@ -5,13 +5,18 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
+// servedSample is the number of requests served at the first attempt of which
+// one is logged.
+const servedSample = 100
+
 // logRefusal tells why a caller's request was refused.
 func (e *Entry) logRefusal(r *http.Request, c *call, refusal *verdict.Refusal) {
 	fields := logrus.Fields{
-		"event":    "request_refused",
 		"request":  r.Header.Get(e.headers.RequestID),
 		"reason":   refusal.Reason(),
 		"verdict":  refusal.Verdict(),
@@ -23,14 +28,25 @@
 	if refusal.Wait() > 0 {
 		fields["retry_after_ms"] = refusal.Wait().Milliseconds()
 	}
-	e.Log().WithFields(fields).Info("request refused")
+	e.Event(event.RequestRefused).WithFields(fields).Info("request refused")
 }
 
 // logRetry tells why a request goes to another backend server.
 func (e *Entry) logRetry(c *call, refusal *verdict.Refusal, attempt int) {
-	fields := logrus.Fields{"event": "request_retried", "request": c.request.GetRequestId(), "reason": refusal.Reason(), "attempt": attempt}
+	fields := logrus.Fields{"request": c.request.GetRequestId(), "reason": refusal.Reason(), "attempt": attempt}
 	e.addCall(fields, c)
-	e.Log().WithFields(fields).Info("request retried")
+	e.Event(event.RequestRetried).WithFields(fields).Info("request retried")
+}
+
+// logServed tells of a request that was served after a retry, and of a sample
+// of the others.
+func (e *Entry) logServed(c *call, attempts int) {
+	if attempts == 1 && e.served.Add(1)%servedSample != 1 {
+		return
+	}
+	fields := logrus.Fields{"request": c.request.GetRequestId(), "attempts": attempts, "status": c.status}
+	e.addCall(fields, c)
+	e.Event(event.RequestServed).WithFields(fields).Info("request served")
 }
 
 func (e *Entry) addCall(fields logrus.Fields, c *call) {
@@ -46,3 +62,43 @@
 	fields["reached"] = c.reached
 	fields["budget_left"] = e.budget.Left(c.request.GetService())
 }
+
+// logOwnerRefusal tells what an owner node decided on a request that it did not
+// let run, or whose outcome it does not know. A wait that was too long for the
+// entry node is its business, which goes on to another owner.
+func (o *Owner) logOwnerRefusal(in *wire.CallRequest, refusal *verdict.Refusal, answer *wire.CallAnswer) {
+	if refusal.Reason() == verdict.Busy {
+		return
+	}
+	name := event.RequestRefusedByOwner
+	if refusal.Verdict() != verdict.NotRun {
+		name = event.RequestOutcomeUnknown
+	}
+	fields := ownerFields(in, answer)
+	fields["reason"] = refusal.Reason()
+	fields["verdict"] = refusal.Verdict()
+	fields["retry_after_ms"] = refusal.Wait().Milliseconds()
+	o.Event(name).WithFields(fields).Info("request not answered")
+}
+
+// logFailure tells of a failure that a backend server answered with.
+func (o *Owner) logFailure(in *wire.CallRequest, answer *wire.CallAnswer) {
+	fields := ownerFields(in, answer)
+	fields["status"] = answer.GetStatus()
+	o.Event(event.RequestFailedByBackend).WithFields(fields).Info("backend server failed a request")
+}
+
+func ownerFields(in *wire.CallRequest, answer *wire.CallAnswer) logrus.Fields {
+	const microsPerMilli = 1000
+	return logrus.Fields{
+		"request":      in.GetRequestId(),
+		"instance":     in.GetInstance(),
+		"route":        in.GetRoute(),
+		"table":        in.GetSequence(),
+		"in_flight":    answer.GetInFlight(),
+		"wait_ms":      answer.GetWaitMicros() / microsPerMilli,
+		"work_ms":      answer.GetWorkMicros() / microsPerMilli,
+		"remaining_ms": in.GetRemainingMs(),
+		"repeated":     in.GetRepeated(),
+	}
+}
--- a/pkg/request/owner.go
+++ b/pkg/request/owner.go
@@ -109,6 +109,7 @@
 	if b != nil {
 		b.report(o.workOf(in, o.Now()), answer)
 	}
+	o.logOwnerRefusal(in, refusal, answer)
 	return send(answer)
 }
 
@@ -152,8 +153,10 @@
 }
 
 func (o *Owner) admit(ctx context.Context, b *Backend, in *wire.CallRequest, deadline time.Time, send func(*wire.CallAnswer) error) error {
-	work := o.workOf(in, o.Now())
+	arrived := o.Now()
+	work := o.workOf(in, arrived)
 	leave, refusal := b.gate.Acquire(ctx, work)
+	o.Observe(`hibiscusrock_queue_wait_seconds`, arrived)
 	if refusal != nil {
 		return o.sendRefusal(b, in, refusal, send)
 	}
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/admission"
 	"github.com/hibiscusrock/hibiscusrock/pkg/backend"
 	"github.com/hibiscusrock/hibiscusrock/pkg/booking"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -51,6 +52,7 @@
 	started := r.owner.Now()
 	r.cold = r.backend.isCold(started)
 	answer, err := r.ownAnswer(ctx)
+	r.owner.Observe(`hibiscusrock_backend_server_seconds`, started)
 	if err != nil {
 		return r.fail(ctx, err, life, started)
 	}
@@ -80,6 +82,9 @@
 		r.owner.ward.Succeeded(r.in.GetFingerprint())
 	}
 	head := r.head(answer)
+	if failed {
+		r.owner.logFailure(r.in, head)
+	}
 	if r.claim != nil {
 		r.claim.Finish(head.GetStatus(), head.GetHeaders(), body)
 	}
@@ -118,6 +123,7 @@
 			return answer, nil
 		}
 		r.owner.Count(`hibiscusrock_answers_crossed_total`)
+		r.owner.Event(event.AnswerCrossed).WithField("request", r.in.GetRequestId()).WithField("instance", r.in.GetInstance()).Info("answer to another request dropped")
 		if crossed == maxCrossed {
 			answer.Close()
 			return nil, errCrossed
--- /dev/null
+++ b/pkg/story/story.go
@@ -0,0 +1,170 @@
+// Package story reads the log lines of several hosts and tells what happened to
+// one request.
+package story
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+)
+
+const (
+	// contextTime is how long before a request a change of what nodes believe
+	// may bear on it.
+	contextTime = 5 * time.Second
+	maxLine     = 1 << 20
+)
+
+// Line is one line of a log.
+type Line struct {
+	Time   time.Time      `json:"time"`
+	Node   string         `json:"node"`
+	Event  event.Name     `json:"event"`
+	Fields map[string]any `json:"fields"`
+}
+
+// text returns a field as text.
+func (l Line) text(name string) string {
+	value, ok := l.Fields[name]
+	if !ok {
+		return ""
+	}
+	return fmt.Sprint(value)
+}
+
+// Read returns the lines of a log; what precedes a line's JSON object, such as
+// a collector's prefix, is passed over. It returns the number of lines that are
+// not log lines of a node.
+func Read(r io.Reader) (lines []Line, others int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		line, ok := parse(scanner.Bytes())
+		if !ok {
+			others++
+			continue
+		}
+		lines = append(lines, line)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, 0, fault.Wrap(err, fault.KindInvalid, "the log cannot be read", "give log files of nodes")
+	}
+	return lines, others, nil
+}
+
+func parse(data []byte) (Line, bool) {
+	i := bytes.IndexByte(data, '{')
+	if i < 0 {
+		return Line{}, false
+	}
+	fields := make(map[string]any)
+	if err := json.Unmarshal(data[i:], &fields); err != nil {
+		return Line{}, false
+	}
+	at, err := time.Parse(time.RFC3339Nano, fmt.Sprint(fields["time"]))
+	name, ok := fields["event"].(string)
+	if err != nil || !ok {
+		return Line{}, false
+	}
+	line := Line{Time: at, Node: fmt.Sprint(fields["node"]), Event: event.Name(name), Fields: fields}
+	for _, common := range []string{"time", "event", "node", "level", "msg", "data_centre"} {
+		delete(fields, common)
+	}
+	return line, true
+}
+
+// Of returns the lines on a request and on the calls that were made for it, in
+// order of time, with the changes of what nodes believed that bear on them.
+func Of(request string, lines []Line) []Line {
+	var own []Line
+	for _, l := range lines {
+		id := l.text("request")
+		if id == request || strings.HasPrefix(id, request+".") {
+			own = append(own, l)
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(own, byTime)
+	story := append(background(own, lines), own...)
+	slices.SortStableFunc(story, byTime)
+	return story
+}
+
+func byTime(a, b Line) int { return a.Time.Compare(b.Time) }
+
+// background returns the changes before and during a request that concern its
+// backend servers, its service or the nodes that handled it.
+func background(own, lines []Line) []Line {
+	subjects := make(map[string]bool)
+	for _, l := range own {
+		for _, name := range []string{"instance", "service"} {
+			if text := l.text(name); text != "" {
+				subjects[text] = true
+			}
+		}
+		subjects[l.Node] = true
+	}
+	from, to := own[0].Time.Add(-contextTime), own[len(own)-1].Time
+	var found []Line
+	for _, l := range lines {
+		if l.Time.Before(from) || l.Time.After(to) || l.text("request") != "" {
+			continue
+		}
+		if subjects[l.text("instance")] || subjects[l.text("service")] || subjects[l.text("member")] || (subjects[l.Node] && isDependency(l.Event)) {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
+// isDependency reports whether a line tells of something that the whole node
+// depends on.
+func isDependency(name event.Name) bool {
+	return slices.Contains([]event.Name{
+		event.NodeStarted, event.NodeStopping, event.StoreLost, event.StoreReached, event.ConfigurationInForce, event.LogLinesDropped,
+	}, name)
+}
+
+// Tell writes a story for people to read.
+func Tell(w io.Writer, request string, story []Line) error {
+	meanings := make(map[event.Name]string)
+	for _, d := range event.All() {
+		meanings[d.Name] = d.Meaning
+	}
+	start := story[0].Time
+	if _, err := fmt.Fprintf(w, "request %s, from %s\n", request, start.Format(time.RFC3339Nano)); err != nil {
+		return err
+	}
+	for _, l := range story {
+		mark := " "
+		if l.text("request") != "" {
+			mark = "*"
+		}
+		if _, err := fmt.Fprintf(w, "%s %+8.3f s  %-20s %s\n%s", mark, l.Time.Sub(start).Seconds(), l.Node, meanings[l.Event], detail(l)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func detail(l Line) string {
+	var b strings.Builder
+	b.WriteString("              ")
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		if text := l.text(name); text != "" && text != "<nil>" {
+			b.WriteString(" " + name + "=" + text)
+		}
+	}
+	return b.String() + "\n"
+}
