Another data centre only when it answers clearly sooner

Change: an answer from elsewhere may come 0.4 of the objective later. Ruled out: gossip and configurations (0.1 of the bytes).

--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -59,7 +59,7 @@
 	// remoteCost is the part of a request's latency objective that an answer
 	// from another data centre may come later than one from this data centre:
 	// bytes between data centres are paid for.
-	remoteCost = 0.15
+	remoteCost = 0.4
 	// remoteDelay is the round trip to another data centre of the region.
 	remoteDelay = 3 * time.Millisecond
 	// crowding is the part of its work by which a request is slowed at a full
