--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -42,14 +42,14 @@
 
 // Retries bounds the requests that reach a second backend server.
 type Retries struct {
-	Percent int `json:"percent" doc:"Retries in percent of a service's requests."`
-	Burst   int `json:"burst" doc:"Retries of a service at once beyond that, over all nodes."`
+	Ratio float64 `json:"ratio" doc:"Retries as a part of a service's requests, those of repeated requests' own calls included."`
+	Burst float64 `json:"burst" doc:"Retries of a service at once beyond that, over all nodes."`
 }
 
 // Exposure bounds the requests that reach a version before it is judged.
 type Exposure struct {
-	Percent int `json:"percent" doc:"Share of a service's requests in percent that a bad version may receive during a move."`
-	Slack   int `json:"slack" doc:"Number of requests that a bad version may receive beyond that share."`
+	Share float64 `json:"share" doc:"Part of a service's requests that a bad version may receive during a move."`
+	Slack float64 `json:"slack" doc:"Number of requests that a bad version may receive beyond that share."`
 }
 
 // Sources of configurations.
@@ -77,8 +77,8 @@
 		LogLevel:           "info",
 		Source:             SourceReleases,
 		MemoryLimitMB:      26,
-		Retries:            Retries{Percent: 10, Burst: 32},
-		Exposure:           Exposure{Percent: 10, Slack: 50},
+		Retries:            Retries{Ratio: 0.1, Burst: 32},
+		Exposure:           Exposure{Share: 0.1, Slack: 50},
 	}
 }
 
@@ -111,6 +111,12 @@
 	}
 }
 
+func (p *problems) checkFraction(field string, value float64) {
+	if value < 0 || value > 1 {
+		p.add("%s: %v is outside 0 to 1", field, value)
+	}
+}
+
 func (p *problems) checkName(field, name string) {
 	if !settingsName.MatchString(name) {
 		p.add("%s: %q is not a name of lower-case letters, digits, dots, dashes or underscores", field, name)
@@ -177,10 +183,13 @@
 			p.checkAddress(field, address)
 		}
 	}
-	p.checkRange("retries.percent", s.Retries.Percent, 0, 100)
-	p.checkRange("retries.burst", s.Retries.Burst, 0, 1<<20)
-	p.checkRange("exposure.percent", s.Exposure.Percent, 1, 100)
-	p.checkRange("exposure.slack", s.Exposure.Slack, 0, 1<<20)
+	p.checkFraction("retries.ratio", s.Retries.Ratio)
+	p.checkFraction("exposure.share", s.Exposure.Share)
+	for field, value := range map[string]float64{"retries.burst": s.Retries.Burst, "exposure.slack": s.Exposure.Slack} {
+		if value < 0 {
+			p.add("%s: %v is below 0", field, value)
+		}
+	}
 }
 
 // StopNotice returns the time for which a stopping node still takes requests;
--- a/pkg/node/connected.go
+++ b/pkg/node/connected.go
@@ -91,7 +91,7 @@
 // make at once. A part is kept for the calls that repeated requests make.
 func (n *Node) retryBurst() float64 {
 	const usable = 0.5
-	return usable * float64(n.settings.Retries.Burst) / float64(max(n.members.Len(), 1))
+	return usable * n.settings.Retries.Burst / float64(max(n.members.Len(), 1))
 }
 
 // followStore follows what the operators write.
--- a/pkg/node/drive.go
+++ b/pkg/node/drive.go
@@ -61,7 +61,7 @@
 	finding, changed := d.pilot.StepPaced(rollout.Pace{
 		Now:        r.Now(),
 		Deadline:   d.deadline,
-		Bounds:     rollout.Bounds{Percent: r.settings.Exposure.Percent, Slack: r.settings.Exposure.Slack},
+		Bounds:     rollout.Bounds{Share: r.settings.Exposure.Share, Slack: r.settings.Exposure.Slack},
 		NewServers: r.endpoints.Count(service, t.order.Version, ""),
 	})
 	if finding != nil {
--- a/pkg/rollout/pace.go
+++ b/pkg/rollout/pace.go
@@ -24,7 +24,6 @@
 	trickle = 10
 	// reservePart is the part of the exposure bound that the canary may use.
 	reservePart = 0.5
-	percent     = 100
 	// reportTime is the time before the deadline at which the operators are told.
 	reportTime = 700 * time.Millisecond
 )
@@ -41,9 +40,9 @@
 
 // Bounds limit the requests that a version may receive before it is proved.
 type Bounds struct {
-	// Percent is the part of the service's requests, and Slack a number beside it.
-	Percent int
-	Slack   int
+	// Share is the part of the service's requests, and Slack a number beside it.
+	Share float64
+	Slack float64
 }
 
 // Pace is what the pace of a move is decided from.
@@ -104,7 +103,7 @@
 // canaryShare keeps the canary under its part of the exposure bound.
 func canaryShare(in Pace) int {
 	total, onNew := requestsOf(in.Stages)
-	bound := reservePart * (float64(in.Bounds.Percent)/percent*float64(total) + float64(in.Bounds.Slack))
+	bound := reservePart * (in.Bounds.Share*float64(total) + in.Bounds.Slack)
 	switch {
 	case float64(onNew) >= bound:
 		return trickle
