--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -21,6 +21,10 @@
 // the source of configurations. It returns a clean-up function.
 type Connect func(*common.Common, config.Settings) (*node.Connection, func())
 
+// gcPercent keeps the heap small: memory is dearer than the time of the garbage
+// collector where a node has little to do.
+const gcPercent = 50
+
 // Main runs the node that the arguments describe until it is told to stop, and
 // returns the exit status.
 func Main(args []string, connect Connect) int {
@@ -44,6 +48,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(settings.MemoryLimitMB) << 20)
 	logging, stopLogging := context.WithCancel(context.Background())
 	writer, written := common.NewLogWriter(logging, os.Stdout)
--- a/pkg/distribution/snapshots.go
+++ b/pkg/distribution/snapshots.go
@@ -31,6 +31,8 @@
 	behindSince time.Time
 }
 
+var errStale = fault.New(fault.KindStale, "the snapshot is not newer than the one held", "")
+
 // NewSnapshots returns an empty holder. The function decode reads a snapshot's
 // content; changed is called after a table comes into force.
 func NewSnapshots(cm *common.Common, decode func([]byte) (uint64, []bundle.Part, error), changed func(*routing.Table)) *Snapshots {
@@ -38,16 +40,20 @@
 }
 
 // Offer takes a snapshot in if it is newer than the one held and whole. Nothing
-// of a refused snapshot is kept.
+// of a refused snapshot is kept. The store revision tells one that is not newer
+// without reading it.
 func (s *Snapshots) Offer(revision int64, content []byte) error {
 	s.offering.Lock()
 	defer s.offering.Unlock()
+	if revision <= s.newest.Load().GetRevision() {
+		return errStale
+	}
 	sequence, parts, err := s.decode(content)
 	if err != nil {
 		return s.refuse("undecodable", err)
 	}
 	if sequence <= s.Sequence() {
-		return fault.New(fault.KindStale, "the snapshot is not newer than the one held", "")
+		return errStale
 	}
 	table, err := routing.NewSnapshotTable(sequence, parts)
 	if err != nil {
--- a/pkg/node/connected.go
+++ b/pkg/node/connected.go
@@ -119,23 +119,28 @@
 	// because watches went silent; it is well below the time in which a change
 	// has to be in force.
 	checkWait = 800 * time.Millisecond
-	// checkers is the number of nodes that look so often, so that one may fail.
-	checkers = 2
-	// relayWait is the wait of the other nodes that watch.
-	relayWait = 20 * time.Second
+	// spareCheckWait is the same for the node that stands in for the first.
+	spareCheckWait = 2 * time.Second
+	// watchers is the number of nodes of each data centre that watch, so that one
+	// may fail; watcherWait is their wait.
+	watchers    = 2
+	watcherWait = 20 * time.Second
 	// lonelyTime is the time without a word from a peer after which a node
 	// watches by itself.
 	lonelyTime = 1200 * time.Millisecond
 )
 
-// watchWait returns how long this node's next watch waits. A few nodes look
-// often and the relays of each data centre wait long; the others hear from them.
+// watchWait returns how long this node's next watch waits. One node looks often
+// and a few of each data centre wait long; the others hear from them.
 func (n *Node) watchWait() time.Duration {
+	rank, local := n.ranks("watch")
 	switch {
-	case n.fleetRank("watch") < checkers || n.sinceHeard() > lonelyTime:
+	case rank == 0 || n.sinceHeard() > lonelyTime:
 		return checkWait
-	case n.members.IsRelay():
-		return relayWait
+	case rank == 1:
+		return spareCheckWait
+	case local < watchers:
+		return watcherWait
 	}
 	return 0
 }
@@ -180,19 +185,22 @@
 
 func (n *Node) isReady() bool { return n.ready.Load() && n.table() != nil }
 
-// fleetRank returns this node's rank among the live nodes for a task, in an
-// order of its own for each task.
-func (n *Node) fleetRank(task string) int {
+// ranks returns this node's rank for a task among the live nodes of the
+// deployment and of its data centre, in an order of its own for each task.
+func (n *Node) ranks(task string) (all, local int) {
 	rank := func(node string) uint64 { return xxhash.Sum64String(task + "/" + node) }
 	own := rank(n.settings.Node)
-	lower := 0
 	for _, member := range n.members.All() {
 		alive := member.GetState() == wire.MemberState_MEMBER_STATE_ALIVE
-		if alive && cmp.Compare(rank(member.GetNode()), own) < 0 {
-			lower++
+		if !alive || cmp.Compare(rank(member.GetNode()), own) >= 0 {
+			continue
+		}
+		all++
+		if member.GetDataCentre() == n.settings.DataCentre {
+			local++
 		}
 	}
-	return lower
+	return all, local
 }
 
 // sinceHeard returns the time since a peer last answered or called.
--- a/pkg/node/rollouts.go
+++ b/pkg/node/rollouts.go
@@ -290,7 +290,8 @@
 func (r *rollouts) isEligible() bool {
 	now := r.Now()
 	for _, t := range r.open() {
-		turn := time.Duration(r.fleetRank(t.order.Service)) * standInterval
+		rank, _ := r.ranks(t.order.Service)
+		turn := time.Duration(rank) * standInterval
 		r.mu.Lock()
 		due := t.seen.Add(turn)
 		if !t.heardAt.IsZero() {
--- a/pkg/request/entry.go
+++ b/pkg/request/entry.go
@@ -68,6 +68,7 @@
 	spread   *routing.Spread
 	budget   *Budget
 	patience *patience
+	sizes    *sizes
 	hooks    EntryHooks
 
 	stopping atomic.Bool
@@ -98,6 +99,7 @@
 		spread:   routing.NewSpread(rand.IntN),
 		budget:   NewBudget(cm.Now),
 		patience: newPatience(),
+		sizes:    newSizes(),
 		hooks:    hooks,
 	}
 	for _, opt := range opts {
@@ -279,7 +281,7 @@
 // a backend server are left out; the standby version comes last.
 func (e *Entry) choose(c *call) (routing.Choice, string, bool) {
 	name := c.request.GetService()
-	need := routing.Need{Service: name, Kind: c.route.Name, Priority: c.route.Priority, Objective: c.route.Objective(), Usual: c.route.UsualWork()}
+	need := routing.Need{Service: name, Kind: c.route.Name, Priority: c.route.Priority, Objective: c.route.Objective(), Left: c.objective.Sub(e.Now()), Usual: c.route.UsualWork(), Kilobytes: e.sizes.kilobytes(c.route.Name)}
 	shares := e.hooks.Shares(c.table, name)
 	excluded := slices.Clone(c.excluded)
 	for {
@@ -324,6 +326,7 @@
 			if refusal = e.refusalOf(c, answer); refusal != nil {
 				return nil
 			}
+			e.sizes.add(c.route.Name, len(answer.GetBody()))
 		}
 		return c.pass(answer)
 	}
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -56,20 +57,32 @@
 	defaultWork = 100 * time.Millisecond
 	// coldFactor is how much longer a backend server takes just after its start.
 	coldFactor = 2
-	// remoteCost is the part of a request's latency objective that an answer
-	// from another data centre may come later than one from this data centre:
-	// bytes between data centres are paid for.
-	remoteCost = 0.4
 	// remoteDelay is the round trip to another data centre of the region.
 	remoteDelay = 3 * time.Millisecond
 	// crowding is the part of its work by which a request is slowed at a full
 	// backend server.
 	crowding = 0.5
+)
+
+// Costs of an endpoint, in parts of the worth of an answer that is on time.
+const (
+	// remoteCost is paid for a request between data centres, and remoteCostPerKB
+	// for each kilobyte of it and its answer.
+	remoteCost      = 0.04
+	remoteCostPerKB = 0.015
+	// slowCost is paid for an answer that takes the whole objective.
+	slowCost = 0.02
+	// lateSlope is how steeply the chance to be late grows with the expected
+	// time; it fits work whose logarithm is spread by about 0.6.
+	lateSlope = 3
 	// noise spreads choices between endpoints of nearly equal cost, so that
 	// nodes with the same view do not all choose the same one.
-	noise = 0.05
-	// waitSlack is added to the wait that the next best endpoint would cost.
-	waitSlack = 15 * time.Millisecond
+	noise = 0.01
+	// shortestWait is accepted anywhere, because asking elsewhere takes as long.
+	shortestWait = 10 * time.Millisecond
+	// waitSteps bounds the search for the wait at which another endpoint is
+	// better, to a part in 2^waitSteps of the objective.
+	waitSteps = 6
 )
 
 // Need is what a request asks of a backend server.
@@ -80,18 +93,22 @@
 	Kind string
 	// Priority ranks the request; 0 is the most urgent.
 	Priority int
-	// Objective is the whole time within which an answer has its full value.
+	// Objective is the whole time within which an answer has its full value, and
+	// Left what is left of it.
 	Objective time.Duration
+	Left      time.Duration
 	// Usual is the time that the kind is thought to take before any was
 	// measured, or 0.
 	Usual time.Duration
+	// Kilobytes is the size of an answer with what goes with it.
+	Kilobytes float64
 }
 
 // Choice is an endpoint for a request.
 type Choice struct {
 	Endpoint *fleet.Endpoint
-	// Cost is the expected time to an answer, with the handicaps of the endpoint.
-	Cost time.Duration
+	// Cost is what is lost with the endpoint, in parts of the worth of an answer.
+	Cost float64
 	// MaxWait is the wait for a slot beyond which another endpoint is better; 0
 	// when there is no other.
 	MaxWait time.Duration
@@ -142,11 +159,26 @@
 		}
 	}
 	if second.Endpoint != nil {
-		best.MaxWait = best.State.Wait + second.Cost - best.Cost + waitSlack
+		best.MaxWait = p.maxWait(need, best, second.Cost)
 	}
 	return best
 }
 
+// maxWait returns the longest wait at which a choice costs no more than limit.
+func (p *Picker) maxWait(need Need, c Choice, limit float64) time.Duration {
+	served := c.Expected - c.State.Wait
+	low, high := c.State.Wait, c.State.Wait+need.Objective
+	for range waitSteps {
+		middle := (low + high) / 2
+		if p.lost(need, c.Endpoint, served+middle, c.State.Failing) <= limit {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return max(low, shortestWait)
+}
+
 // meanWork returns the mean time for a kind of work over the endpoints that
 // reported one.
 func (p *Picker) meanWork(need Need, endpoints []*fleet.Endpoint, now time.Time) time.Duration {
@@ -181,16 +213,31 @@
 	if full > 1 {
 		wait = max(wait, time.Duration((full-1)*float64(work)))
 	}
-	expected := float64(wait) + float64(work)*(1+crowding*min(full, 1)*min(full, 1))
-	cost := expected
-	if e.Record().GetDataCentre() != p.dataCentre {
-		expected += float64(remoteDelay)
-		cost = expected + remoteCost*float64(need.Objective)
+	expected := wait + time.Duration(float64(work)*(1+crowding*min(full, 1)*min(full, 1)))
+	if p.isRemote(e) {
+		expected += remoteDelay
 	}
-	cost += state.Failing * float64(need.Objective)
-	cost *= 1 + noise*p.random()
 	state.Wait = wait
-	return Choice{Endpoint: e, Cost: time.Duration(cost), Expected: time.Duration(expected), State: state}
+	cost := p.lost(need, e, expected, state.Failing) + noise*p.random()
+	return Choice{Endpoint: e, Cost: cost, Expected: expected, State: state}
+}
+
+func (p *Picker) isRemote(e *fleet.Endpoint) bool {
+	return e.Record().GetDataCentre() != p.dataCentre
+}
+
+// lost returns the part of an answer's worth that is lost at an endpoint: by
+// the chance to be late or to fail, by bytes between data centres, and a little
+// by time alone.
+func (p *Picker) lost(need Need, e *fleet.Endpoint, expected time.Duration, failing float64) float64 {
+	lost := failing + slowCost*float64(expected)/float64(max(need.Objective, 1))
+	if p.isRemote(e) {
+		lost += remoteCost + remoteCostPerKB*need.Kilobytes
+	}
+	if need.Left > 0 {
+		lost += 1 / (1 + math.Pow(float64(need.Left)/float64(max(expected, 1)), lateSlope))
+	}
+	return lost
 }
 
 func wasTried(r *wire.Endpoint, tried []*fleet.Endpoint) bool {
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -12,7 +12,7 @@
 	// watchWait is how long a watch waits unless an option says otherwise.
 	watchWait = 8 * time.Second
 	// batchPause lets changes that come in quick succession arrive in one answer.
-	batchPause = 200 * time.Millisecond
+	batchPause = 600 * time.Millisecond
 	// Pauses between reads while the store does not answer.
 	// idlePause is the time between questions whether to watch.
 	idlePause    = 300 * time.Millisecond
