--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -58,9 +58,7 @@
 	}
 	defer answer.Close()
 	if r.isShed(answer) {
-		r.outcome = admission.Overloaded
-		r.backend.health.add(true)
-		return r.notRun(verdict.BackendShed)
+		return r.shed(answer)
 	}
 	return r.deliver(ctx, answer, life, started)
 }
@@ -91,8 +89,24 @@
 	return r.sendWhole(head, body)
 }
 
+// shed gives the verdict on a request that the backend server did not run. By a
+// declared status it says that it has too much work. The header says nothing of
+// its load, because it never has more work than the slots that it announced.
+func (r *run) shed(answer *backend.Answer) error {
+	r.outcome = admission.Failed
+	if r.hasShedStatus(answer) {
+		r.outcome = admission.Overloaded
+	}
+	r.backend.health.add(true)
+	return r.notRun(verdict.BackendShed)
+}
+
+func (r *run) hasShedStatus(answer *backend.Answer) bool {
+	return slices.Contains(r.in.GetShedStatuses(), int32(answer.Status()))
+}
+
 func (r *run) isShed(answer *backend.Answer) bool {
-	if slices.Contains(r.in.GetShedStatuses(), int32(answer.Status())) {
+	if r.hasShedStatus(answer) {
 		return true
 	}
 	name := r.owner.headers.NotRun
