A steward that cannot reach the store says so, and another takes over

Change: its word says that its lease is not confirmed; others stand in their order. TestWhoStandsForSteward fails before in one case.

--- a/pkg/admission/load_test.go
+++ b/pkg/admission/load_test.go
@@ -172,21 +172,23 @@
 			quotes.perSecond = test.load * capacity
 			for seed := range uint64(seeds) {
 				got := play(seed, slots, length, map[string]loadKind{"quotes": quotes})["quotes"]
-				possible := min(float64(got.asked), capacity*length.Seconds())
-				if part := float64(got.onTime) / possible; part < test.want {
-					t.Errorf("seed %d: %.2f of what the slots can do was on time, want %.2f: %+v", seed, part, test.want, *got)
-				}
-				if got.refusedLate > got.asked/10 {
-					t.Errorf("seed %d: refused after a wait: %+v, want one in ten at most", seed, *got)
-				}
-				if seed == 0 {
-					t.Logf("%+v of %.0f", *got, possible)
-				}
+				checkOverload(t, seed, *got, capacity*length.Seconds(), test.want)
 			}
 		})
 	}
 }
 
+func checkOverload(t *testing.T, seed uint64, got loadResult, capacity, want float64) {
+	t.Helper()
+	possible := min(float64(got.asked), capacity)
+	if part := float64(got.onTime) / possible; part < want {
+		t.Errorf("seed %d: %.2f of what the slots can do was on time, want %.2f: %+v", seed, part, want, got)
+	}
+	if got.refusedLate > got.asked/10 {
+		t.Errorf("seed %d: refused after a wait: %+v, want one in ten at most", seed, got)
+	}
+}
+
 // TestUrgentWorkGoesFirst: bookings and calls keep their objectives while less
 // urgent work fills all slots.
 func TestUrgentWorkGoesFirst(t *testing.T) {
--- a/pkg/distribution/snapshots_test.go
+++ b/pkg/distribution/snapshots_test.go
@@ -9,6 +9,14 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
 )
 
+// decodeTestContent reads a version out of one byte.
+func decodeTestContent(content []byte) (uint64, []bundle.Part, error) {
+	if len(content) == 0 {
+		return 0, nil, errors.New("broken")
+	}
+	return uint64(content[0]), nil, nil
+}
+
 // TestSnapshotsNeverGoBack: whatever order snapshots come in, the sequence in
 // force never falls, and what is known already is not read again.
 func TestSnapshotsNeverGoBack(t *testing.T) {
@@ -32,10 +40,7 @@
 			reads := 0
 			s := NewSnapshots(common.New(), func(content []byte) (uint64, []bundle.Part, error) {
 				reads++
-				if len(content) == 0 {
-					return 0, nil, errors.New("broken")
-				}
-				return uint64(content[0]), nil, nil
+				return decodeTestContent(content)
 			}, func(*routing.Table) {})
 			for _, o := range test.offers {
 				_ = s.Offer(o.revision, []byte(o.content))
--- a/pkg/node/drive.go
+++ b/pkg/node/drive.go
@@ -165,6 +165,7 @@
 		Stage:       uint64(state.Stage),
 		SinceUnixMs: state.Since.UnixMilli(),
 		DurationMs:  t.order.Duration.Milliseconds(),
+		Stranded:    r.steward.isStranded(),
 	}
 	record := &wire.Record{Key: gossip.PrefixRollout + t.order.Service, Epoch: r.steward.epoch.Load(), Step: d.step, Body: &wire.Record_Rollout{Rollout: said}}
 	if !r.records.Set(record) {
--- a/pkg/node/rollouts.go
+++ b/pkg/node/rollouts.go
@@ -55,6 +55,8 @@
 	// record is the newest word of a steward on this order, heardAt its arrival.
 	record  *wire.Rollout
 	heardAt time.Time
+	// strandedAt is when the steward first said that it cannot reach the store.
+	strandedAt time.Time
 	// sent is the number of requests in the evidence last sent.
 	sent  uint64
 	drive *drive
@@ -151,6 +153,12 @@
 		return
 	}
 	t.heardAt = r.Now()
+	switch {
+	case !said.GetStranded():
+		t.strandedAt = time.Time{}
+	case t.strandedAt.IsZero():
+		t.strandedAt = t.heardAt
+	}
 	if isFinal(t.record) && !isFinal(said) {
 		return
 	}
@@ -286,7 +294,8 @@
 }
 
 // isEligible lets nodes stand for steward one after the other, in an order of
-// their own for each service, once they have heard nothing for a while.
+// their own for each service, once they have heard nothing for a while or the
+// steward cannot reach the store.
 func (r *rollouts) isEligible() bool {
 	now := r.Now()
 	for _, t := range r.open() {
@@ -297,6 +306,9 @@
 		if !t.heardAt.IsZero() {
 			due = t.heardAt.Add(rolloutSilence + turn)
 		}
+		if !t.strandedAt.IsZero() {
+			due = t.strandedAt.Add(turn)
+		}
 		r.mu.Unlock()
 		if !now.Before(due) {
 			return true
--- a/pkg/node/rollouts_test.go
+++ b/pkg/node/rollouts_test.go
@@ -114,3 +114,39 @@
 		})
 	}
 }
+
+// TestWhoStandsForSteward: others take over from a steward that is silent, or
+// that still decides but cannot reach the store.
+func TestWhoStandsForSteward(t *testing.T) {
+	say := func(stranded bool) func(*rollouts) {
+		return func(r *rollouts) {
+			r.records.Set(&wire.Record{Key: gossip.PrefixRollout + "quotes", Epoch: 1, Step: 1, Body: &wire.Record_Rollout{Rollout: &wire.Rollout{
+				Service: "quotes", Version: "v2", Order: testOrder, DurationMs: 16000, Node: "nv1", Stranded: stranded,
+			}}})
+		}
+	}
+	tests := map[string]struct {
+		happen func(*rollouts)
+		after  time.Duration
+		want   bool
+	}{
+		"an order that nobody took":        {(*rollouts).ordered, 10 * standInterval, true},
+		"a steward that was heard":         {say(false), rolloutSilence / 2, false},
+		"a steward that fell silent":       {say(false), rolloutSilence + 10*standInterval, true},
+		"a steward that lost the store":    {say(true), 10 * standInterval, true},
+		"an order whose end was reported":  {func(r *rollouts) { say(false)(r); r.orders["quotes"].record.Reported = true }, time.Minute, false},
+		"a steward that has it back again": {func(r *rollouts) { say(true)(r); r.said(40, wire.MoveState_MOVE_STATE_MOVING) }, rolloutSilence / 2, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			r := newTestRollouts(t, "v1", "v2")
+			r.Common = common.New(common.WithClock(func() time.Time { return now }))
+			test.happen(r)
+			now = now.Add(test.after)
+			if got := r.isEligible(); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/pkg/node/steward.go
+++ b/pkg/node/steward.go
@@ -41,6 +41,8 @@
 	node     string
 	election election
 	lease    int64
+	// renewed is when the store last confirmed the lease, in Unix nanoseconds.
+	renewed  atomic.Int64
 	epoch    atomic.Uint64
 	nextCall time.Time
 	// superseded is set when a newer steward was heard of.
@@ -89,17 +91,28 @@
 		return
 	}
 	s.lease = lease
+	s.renewed.Store(s.Now().UnixNano())
 	s.epoch.Store(uint64(kv.ModRevision))
 	s.Event(event.StewardElected).WithField("epoch", kv.ModRevision).Info("steward elected")
 }
 
 func (s *steward) renew(ctx context.Context) {
 	alive, err := s.election.keepAlive(ctx, s.lease)
-	if err == nil && !alive {
+	switch {
+	case err != nil:
+	case alive:
+		s.renewed.Store(s.Now().UnixNano())
+	default:
 		s.standDown("the lease lapsed")
 	}
 }
 
+// isStranded reports whether the lease may have lapsed because this node cannot
+// reach the store.
+func (s *steward) isStranded() bool {
+	return s.Now().Sub(time.Unix(0, s.renewed.Load())) > s.election.lease
+}
+
 // standDown ends this node's decisions.
 func (s *steward) standDown(cause string) {
 	s.Count(`hibiscusrock_steward_stood_down_total`)
--- a/pkg/routing/pick_test.go
+++ b/pkg/routing/pick_test.go
@@ -11,6 +11,27 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
+// newTestPicker returns a picker that knows one backend server in its own data
+// centre and one elsewhere, by what their nodes reported.
+func newTestPicker(local, remote fleet.Report) *Picker {
+	now := time.Unix(1000, 0)
+	cm := common.New(common.WithClock(func() time.Time { return now }))
+	records := gossip.New()
+	members := fleet.NewMembers(cm, records, &wire.Member{Node: "self", DataCentre: "plateau"})
+	endpoints := fleet.NewEndpoints(records, members)
+	reports := map[string]fleet.Report{"local": local, "remote": remote}
+	for node, dataCentre := range map[string]string{"local": "plateau", "remote": "rufisque"} {
+		records.Set(&wire.Record{Key: gossip.PrefixMember + node, Epoch: 1, Body: &wire.Record_Member{Member: &wire.Member{Node: node, DataCentre: dataCentre}}})
+		records.Set(&wire.Record{Key: fleet.EndpointKey(node, "i"), Epoch: 1, Body: &wire.Record_Endpoint{Endpoint: &wire.Endpoint{
+			Node: node, Instance: "i", Service: "quotes", Version: "v1", DataCentre: dataCentre, Slots: 6,
+		}}})
+	}
+	for _, e := range endpoints.Usable("quotes", func(*wire.Endpoint) bool { return true }) {
+		e.Observed().Observe(now, "view", 1, reports[e.Record().GetNode()])
+	}
+	return NewPicker(cm.Now, endpoints, "plateau")
+}
+
 // TestPick: which of two backend servers a request goes to, by what was
 // reported of them; the first is in this data centre, the second elsewhere.
 func TestPick(t *testing.T) {
@@ -31,25 +52,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			now := time.Unix(1000, 0)
-			cm := common.New(common.WithClock(func() time.Time { return now }))
-			records := gossip.New()
-			members := fleet.NewMembers(cm, records, &wire.Member{Node: "self", DataCentre: "plateau"})
-			endpoints := fleet.NewEndpoints(records, members)
-			for node, dataCentre := range map[string]string{"local": "plateau", "remote": "rufisque"} {
-				records.Set(&wire.Record{Key: gossip.PrefixMember + node, Epoch: 1, Body: &wire.Record_Member{Member: &wire.Member{Node: node, DataCentre: dataCentre}}})
-				records.Set(&wire.Record{Key: fleet.EndpointKey(node, "i"), Epoch: 1, Body: &wire.Record_Endpoint{Endpoint: &wire.Endpoint{
-					Node: node, Instance: "i", Service: "quotes", Version: "v1", DataCentre: dataCentre, Slots: 6,
-				}}})
-			}
-			for _, e := range endpoints.Usable("quotes", func(*wire.Endpoint) bool { return true }) {
-				report := test.local
-				if e.Record().GetNode() == "remote" {
-					report = test.remote
-				}
-				e.Observed().Observe(now, "view", 1, report)
-			}
-			p := NewPicker(cm.Now, endpoints, "plateau")
+			p := newTestPicker(test.local, test.remote)
 			choice, ok := p.Pick(Need{Service: "quotes", Version: "v1", Kind: "view", Priority: 1, Objective: objective, Left: objective, Kilobytes: 5}, nil)
 			if !ok {
 				t.Fatal("nothing was picked")
