Heartbeats wait until a restarted node has heard what it was told before

Cause: TestDrain failed once in six runs: a late heartbeat that reached a restarted node before its first exchange was taken in as new, and its record replaced the drain that peers still knew. Change: heartbeats that come before the node has joined are held and taken in after it; joined means that a registered node answered, that there is none, or that a second has passed. Ruled out: the registration, which a graceful stop removes by design.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -70,7 +70,7 @@
 	return lateCost * w.expected
 }
 
-// goesBefore reports whether a is served before b: the more urgent first; then
+// goesBefore reports whether w is served before other: the more urgent first; then
 // by objective as long as both meet it. A late request goes behind those on
 // time, unless it is so short that they hardly notice: a lookup that another
 // request waits for.
--- a/pkg/node/connected.go
+++ b/pkg/node/connected.go
@@ -44,9 +44,10 @@
 
 // HostCalls is what the backend server of this host and the platform may ask of a node.
 type HostCalls struct {
-	// Heartbeat takes an announcement in. It returns once a leave that the
-	// announcement brings is known beyond this node, as far as that is possible.
-	Heartbeat func(ctx context.Context, h request.Heartbeat)
+	// Heartbeat takes an announcement in, which holds the start of the backend
+	// server's life and its number. It returns once a leave that it brings is
+	// known beyond this node, as far as that is possible.
+	Heartbeat func(ctx context.Context, record *wire.Endpoint)
 	// Leave takes a backend server out of use, as its last word.
 	Leave func(ctx context.Context, instance string, born int64)
 	// Ready reports whether this node serves callers.
--- a/pkg/node/gossiper.go
+++ b/pkg/node/gossiper.go
@@ -138,20 +138,25 @@
 	return members[:min(n, len(members))]
 }
 
-// exchangeAll exchanges with several peers at the same time, a few at once.
-func (g *gossiper) exchangeAll(ctx context.Context, addresses []string) {
+// exchangeAll exchanges with several peers at the same time, a few at once. It
+// returns the number of those that answered.
+func (g *gossiper) exchangeAll(ctx context.Context, addresses []string) int {
 	var wg sync.WaitGroup
+	var answered atomic.Int64
 	slots := make(chan struct{}, exchangesAtOnce)
 	for _, address := range addresses {
 		wg.Add(1)
 		slots <- struct{}{}
 		go func() {
 			defer wg.Done()
-			_ = g.exchange(ctx, address)
+			if g.exchange(ctx, address) == nil {
+				answered.Add(1)
+			}
 			<-slots
 		}()
 	}
 	wg.Wait()
+	return int(answered.Load())
 }
 
 // sendToRelays queues a record for the relays of this data centre and no others.
--- a/pkg/node/heartbeats.go
+++ b/pkg/node/heartbeats.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/fleet"
-	"github.com/hibiscusrock/hibiscusrock/pkg/request"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
 // leaveNotice bounds the time for which the answer to a leaving backend server
@@ -14,11 +14,13 @@
 
 // takeHeartbeat takes an announcement of the backend server on this host in. A
 // node that was restarted learns from its peers what it was told before.
-func (n *Node) takeHeartbeat(ctx context.Context, h request.Heartbeat) {
-	h.Record.Node = n.settings.Node
-	h.Record.DataCentre = n.settings.DataCentre
-	key := fleet.EndpointKey(n.settings.Node, h.Record.GetInstance())
-	if n.owner.Heartbeat(h, n.records.Get(key).GetEndpoint()) {
+func (n *Node) takeHeartbeat(ctx context.Context, record *wire.Endpoint) {
+	if n.joiner.hold(record) {
+		return
+	}
+	record.Node, record.DataCentre = n.settings.Node, n.settings.DataCentre
+	key := fleet.EndpointKey(n.settings.Node, record.GetInstance())
+	if n.owner.Heartbeat(record, n.records.Get(key).GetEndpoint()) {
 		n.tellOthers(ctx)
 	}
 }
--- a/pkg/node/joiner.go
+++ b/pkg/node/joiner.go
@@ -43,6 +43,8 @@
 
 	mu        sync.Mutex
 	reachable bool
+	// held are heartbeats that came before this node had joined.
+	held []*wire.Endpoint
 }
 
 func newJoiner(n *Node) *joiner {
@@ -113,24 +115,45 @@
 
 // hasJoined reports whether this node has heard from the deployment what it may
 // have been told before a restart.
-func (j *joiner) hasJoined() bool {
-	return j.joined.Load() || j.Now().Sub(j.begun) > joinPatience
+func (j *joiner) hasJoined() bool { return j.joined.Load() }
+
+// hold keeps a heartbeat until this node has joined. What it says may be older
+// than what others were told, and must not replace that before it is known.
+func (j *joiner) hold(record *wire.Endpoint) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.joined.Load() {
+		return false
+	}
+	j.held = append(j.held, record)
+	return true
+}
+
+// join lets this node serve and takes the held heartbeats in.
+func (j *joiner) join(ctx context.Context) {
+	j.mu.Lock()
+	held := j.held
+	j.held = nil
+	j.joined.Store(true)
+	j.mu.Unlock()
+	for _, record := range held {
+		j.takeHeartbeat(ctx, record)
+	}
 }
 
 // run registers this node, joins the others and keeps both up.
 func (j *joiner) run(ctx context.Context) {
 	registered := loop(ctx, j.register)
+	patience := time.AfterFunc(joinPatience, func() { j.join(ctx) })
+	defer patience.Stop()
 	pauses := newJoinBackoff(lonelyPeriod)
 	for ctx.Err() == nil {
-		if j.countAlivePeers() > 0 {
-			j.joined.Store(true)
-			if !common.Sleep(ctx, jittered(lonelyPeriod)) {
-				break
-			}
+		if j.joined.Load() && j.countAlivePeers() > 0 {
+			common.Sleep(ctx, jittered(lonelyPeriod))
 			continue
 		}
-		if j.registrar.read(ctx) {
-			j.callAll(ctx)
+		if j.registrar.read(ctx) && j.callAll(ctx) && !j.joined.Load() {
+			j.join(ctx)
 		}
 		common.Sleep(ctx, pauses.NextBackOff())
 	}
@@ -169,8 +192,9 @@
 	}
 }
 
-// callAll exchanges with some of the registered nodes.
-func (j *joiner) callAll(ctx context.Context) {
+// callAll exchanges with some of the registered nodes. It reports whether one
+// of them answered, or there is none.
+func (j *joiner) callAll(ctx context.Context) bool {
 	var targets []string
 	for _, address := range j.registrar.addresses() {
 		if address != j.settings.AdvertiseAddress {
@@ -178,7 +202,7 @@
 		}
 	}
 	rand.Shuffle(len(targets), func(a, b int) { targets[a], targets[b] = targets[b], targets[a] })
-	j.gossiper.exchangeAll(ctx, targets[:min(len(targets), joinFanout)])
+	return j.gossiper.exchangeAll(ctx, targets[:min(len(targets), joinFanout)]) > 0 || len(targets) == 0
 }
 
 // storeReached notes that the store answers.
--- a/pkg/request/heartbeats.go
+++ b/pkg/request/heartbeats.go
@@ -6,19 +6,11 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
-// Heartbeat is an announcement whose place in the life of the backend server is
-// known, so that a late one changes nothing.
-type Heartbeat struct {
-	// Record describes the backend server; it holds the start of its life and
-	// the number of the announcement.
-	Record *wire.Endpoint
-}
-
-// Heartbeat takes a numbered announcement in. The argument known is what peers
-// know of the backend server, or nil. It reports whether the backend server
-// began to leave by it.
-func (o *Owner) Heartbeat(h Heartbeat, known *wire.Endpoint) bool {
-	record := h.Record
+// Heartbeat takes an announcement in whose place in the life of the backend
+// server is known, so that a late one changes nothing. The argument known is
+// what peers know of the backend server, or nil. It reports whether the backend
+// server began to leave by it.
+func (o *Owner) Heartbeat(record, known *wire.Endpoint) bool {
 	o.mu.RLock()
 	b := o.backends[record.GetInstance()]
 	o.mu.RUnlock()
--- a/pkg/request/heartbeats_test.go
+++ b/pkg/request/heartbeats_test.go
@@ -35,7 +35,7 @@
 // an earlier life of the node arrive in, a backend server that left stays out.
 func TestLateWordsChangeNothing(t *testing.T) {
 	beat := func(born int64, number uint64, draining bool) func(*Owner) {
-		return func(o *Owner) { o.Heartbeat(Heartbeat{Record: testRecord(born, number, draining)}, nil) }
+		return func(o *Owner) { o.Heartbeat(testRecord(born, number, draining), nil) }
 	}
 	leave := func(born int64) func(*Owner) { return func(o *Owner) { o.Leave("i", born) } }
 	adopt := func(born int64, number uint64, draining bool) func(*Owner) {
--- a/pkg/store/kv.go
+++ b/pkg/store/kv.go
@@ -10,9 +10,6 @@
 // asked for; read the keys again.
 var ErrCompacted = errors.New("the history is gone; read the keys again")
 
-// ErrLapsed tells that a lease has ended; grant another and write the keys again.
-var ErrLapsed = errors.New("the lease has ended; grant another")
-
 // Event is one change of a key.
 type Event struct {
 	KeyValue
