--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) |.*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 FUZZ_TIME ?= 5s
 
-.PHONY: build demo bench slopes test red fuzz prove lint format generate
+.PHONY: build demo bench slopes test red fuzz prove lint format generate days
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -52,3 +52,7 @@
 	$(GO) generate ./...
 	$(GO) run ./cmd/hibiscusrock config reference > docs/SETTINGS.md
 	$(GO) run ./cmd/hibiscusrock config events > docs/EVENTS.md
+
+# Plays the users' bench; FLEETBENCH and SITES name it and the sites.
+days:
+	sh scripts/days.sh
