Configurations travel compressed against the one a peer holds

The configuration is 171 KB; each node fetched each change whole from a peer over a link of 10 Mbit/s (140 ms of the link a copy, up to three copies from one node), so calls queued behind copies. Ruled out: load (owners were far from full after the storm), decoding (1.5 ms a change by BenchmarkDecodeConfiguration; the waits ended with the storm, not with the load).

Nodes on wider links come first for watching the store.

--- a/pkg/config/settings.go
+++ b/pkg/config/settings.go
@@ -36,6 +36,7 @@
 	ReadyAddress       string            `json:"ready_address" doc:"IP address and port for readiness checks from other hosts; only host_address answers them if empty."`
 	MetricsAddress     string            `json:"metrics_address" doc:"IP address and port for metrics; only host_address serves them if empty."`
 	MemoryLimitMB      int               `json:"memory_limit_mb" doc:"Memory in megabytes from which the garbage collector works harder."`
+	LinkMbps           float64           `json:"link_mbps" doc:"Bandwidth of the host's link in Mbit/s; nodes on wider links watch the store for the others. 0 if unknown."`
 	Retries            Retries           `json:"retries" doc:"Bounds of retries over the whole deployment, with source store."`
 	Exposure           Exposure          `json:"exposure" doc:"Bounds of the traffic of an unproven version, with source store."`
 }
@@ -147,6 +148,7 @@
 	}
 	p.checkRange("stop_notice_ms", s.StopNoticeMS, 0, 60000)
 	p.checkRange("memory_limit_mb", s.MemoryLimitMB, 8, 1<<20)
+	p.checkRange("link_mbps", int(s.LinkMbps), 0, 1<<20)
 	switch s.Source {
 	case SourceReleases:
 		p.checkReleases(s)
--- /dev/null
+++ b/pkg/distribution/packer_test.go
@@ -0,0 +1,162 @@
+package distribution
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+const (
+	// plannedChanges is the number of changes a day that the deployment is
+	// designed for, and plannedControlBytes what a node may receive a second.
+	plannedChanges      = 27_000
+	plannedControlBytes = 17_000
+	secondsPerDay       = 86_400
+)
+
+// testSnapshot is a snapshot of many routes after a number of changes to one each.
+func testSnapshot(sequence byte, changes int) []byte {
+	b := bytes.NewBuffer([]byte{sequence})
+	for i := range 800 {
+		timeout := 1000
+		if i <= changes {
+			timeout = 2000 + i
+		}
+		fmt.Fprintf(b, `{"name":"r-%08x","prefix":"/%08x/","timeout_ms":%d,"service":"quote"},`, i*2654435761, i*40503, timeout)
+	}
+	return b.Bytes()
+}
+
+func newTestSnapshots(t *testing.T, contents ...[]byte) *Snapshots {
+	t.Helper()
+	s := NewSnapshots(common.New(), decodeTestContent, func(*routing.Table) {})
+	for i, content := range contents {
+		if err := s.Offer(int64(i+1), content); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+// TestPackedSnapshots: a node that holds one of the last snapshots receives the
+// newest within the bytes that the planned size leaves for a change; any other
+// node receives it whole; and one that lacks the base is told so.
+func TestPackedSnapshots(t *testing.T) {
+	var contents [][]byte
+	for i := range maxBases + 2 {
+		contents = append(contents, testSnapshot(byte(i+1), i))
+	}
+	sender := newTestSnapshots(t, contents...)
+	newest := contents[len(contents)-1]
+	tests := map[string]struct {
+		held    int
+		maxSize int
+		base    uint64
+	}{
+		"the one before":     {held: len(contents) - 1, maxSize: 300, base: uint64(len(contents) - 1)},
+		"a few before":       {held: len(contents) - 4, maxSize: 1000, base: uint64(len(contents) - 4)},
+		"one that is gone":   {held: 1, maxSize: len(newest), base: 0},
+		"none":               {held: 0, maxSize: len(newest), base: 0},
+		"one not known here": {held: 200, maxSize: len(newest), base: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			packed, err := sender.PackedFor(uint64(test.held))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if packed.GetBase() != test.base || len(packed.GetContent()) > test.maxSize {
+				t.Errorf("got %d bytes against %d, want at most %d against %d", len(packed.GetContent()), packed.GetBase(), test.maxSize, test.base)
+			}
+			checkTakenIn(t, newTestSnapshots(t, contents[:test.base]...), packed, newest)
+		})
+	}
+}
+
+func checkTakenIn(t *testing.T, receiver *Snapshots, packed *wire.Snapshot, want []byte) {
+	t.Helper()
+	if err := receiver.OfferPacked(packed); err != nil {
+		t.Fatal(err)
+	}
+	if got := receiver.Newest().GetContent(); !bytes.Equal(got, want) {
+		t.Errorf("got %d bytes, want the %d of the newest", len(got), len(want))
+	}
+}
+
+// TestPackedFitsTheControlBudget: the planned changes a day, each received
+// twice, leave most of the control bytes of a node for other news.
+func TestPackedFitsTheControlBudget(t *testing.T) {
+	const (
+		copies = 2
+		part   = 0.1
+	)
+	s := newTestSnapshots(t, testSnapshot(1, 1), testSnapshot(2, 2))
+	packed, err := s.PackedFor(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := float64(len(packed.GetContent())) * copies * plannedChanges / secondsPerDay
+	if want := part * plannedControlBytes; got > want {
+		t.Errorf("got %.0f bytes a second, want at most %.0f", got, want)
+	}
+}
+
+func TestPackedSnapshotsRefused(t *testing.T) {
+	sender := newTestSnapshots(t, testSnapshot(1, 1), testSnapshot(2, 2))
+	packed, err := sender.PackedFor(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	damaged := bytes.Clone(packed.GetContent())
+	damaged[len(damaged)-1] ^= 1
+	tests := map[string]struct {
+		holds  [][]byte
+		offer  *wire.Snapshot
+		want   fault.Kind
+		stands uint64
+	}{
+		"the base is missing":   {[][]byte{}, packed, fault.KindMissing, 0},
+		"another base":          {[][]byte{testSnapshot(1, 5)}, packed, fault.KindInvalid, 1},
+		"damaged on the way":    {[][]byte{testSnapshot(1, 1)}, &wire.Snapshot{Sequence: 2, Revision: 2, Base: 1, Content: damaged}, fault.KindInvalid, 1},
+		"no newer than held":    {[][]byte{testSnapshot(1, 1), testSnapshot(2, 2)}, packed, fault.KindStale, 2},
+		"expands without bound": {[][]byte{testSnapshot(1, 1)}, &wire.Snapshot{Sequence: 2, Revision: 2, Content: mustCompress(t, make([]byte, 2*maxUnpackedBytes))}, fault.KindInvalid, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			receiver := newTestSnapshots(t, test.holds...)
+			if err := receiver.OfferPacked(test.offer); !fault.Is(err, test.want) {
+				t.Errorf("got %v, want %s", err, test.want)
+			}
+			if got := receiver.Sequence(); got != test.stands {
+				t.Errorf("got sequence %d in force, want %d", got, test.stands)
+			}
+		})
+	}
+}
+
+func mustCompress(t *testing.T, content []byte) []byte {
+	t.Helper()
+	frame, err := compress(content, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return frame
+}
+
+func BenchmarkPack(b *testing.B) {
+	old, next := testSnapshot(1, 1), testSnapshot(2, 2)
+	for b.Loop() {
+		s := &Snapshots{decode: func([]byte) (uint64, []bundle.Part, error) { return 0, nil, nil }}
+		s.packer.add(&wire.Snapshot{Sequence: 1, Content: old})
+		s.packer.add(&wire.Snapshot{Sequence: 2, Content: next})
+		if _, err := s.PackedFor(1); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/distribution/snapshots.go
+++ b/pkg/distribution/snapshots.go
@@ -23,6 +23,7 @@
 	offering sync.Mutex
 	newest   atomic.Pointer[wire.Snapshot]
 	enforced atomic.Pointer[routing.Table]
+	packer   packer
 
 	mu    sync.RWMutex
 	peers map[string]uint64
@@ -59,13 +60,32 @@
 	if err != nil {
 		return s.refuse("invalid", err)
 	}
-	s.newest.Store(&wire.Snapshot{Sequence: sequence, Revision: revision, Content: content})
+	snapshot := &wire.Snapshot{Sequence: sequence, Revision: revision, Content: content}
+	s.packer.add(snapshot)
+	s.newest.Store(snapshot)
 	s.enforced.Store(table)
 	s.Count(`hibiscusrock_release_enforced_total`)
 	s.changed(table)
 	return nil
 }
 
+// PackedFor returns the newest snapshot as it travels to a node that holds the
+// given sequence, or nil when there is none.
+func (s *Snapshots) PackedFor(held uint64) (*wire.Snapshot, error) { return s.packer.pack(held) }
+
+// OfferPacked takes in a snapshot that another node packed. It fails with
+// KindMissing when the snapshot is packed against one that this node lacks.
+func (s *Snapshots) OfferPacked(packed *wire.Snapshot) error {
+	if packed.GetRevision() <= s.newest.Load().GetRevision() {
+		return errStale
+	}
+	content, err := s.packer.unpack(packed)
+	if err != nil {
+		return err
+	}
+	return s.Offer(packed.GetRevision(), content)
+}
+
 func (s *Snapshots) refuse(reason string, err error) error {
 	s.Count(`hibiscusrock_release_refused_total{reason="` + reason + `"}`)
 	return err
--- a/pkg/fleet/members.go
+++ b/pkg/fleet/members.go
@@ -74,10 +74,14 @@
 }
 
 func (m *Members) setSelf(state wire.MemberState, step uint64) {
-	member := &wire.Member{Node: m.self.GetNode(), DataCentre: m.self.GetDataCentre(), Address: m.self.GetAddress(), State: state}
+	member := withState(m.self, state)
 	m.store.Set(m.newRecord(member, m.incarnation.Load(), step))
 }
 
+func withState(member *wire.Member, state wire.MemberState) *wire.Member {
+	return &wire.Member{Node: member.GetNode(), DataCentre: member.GetDataCentre(), Address: member.GetAddress(), LinkMbps: member.GetLinkMbps(), State: state}
+}
+
 func (m *Members) newRecord(member *wire.Member, epoch, step uint64) *wire.Record {
 	r := &wire.Record{Key: memberKey(member.GetNode()), Epoch: epoch, Step: step, Body: &wire.Record_Member{Member: member}}
 	if isGone(member.GetState()) {
@@ -141,8 +145,7 @@
 	if r == nil || r.GetMember().GetState() != from || node == m.self.GetNode() {
 		return
 	}
-	old := r.GetMember()
-	member := &wire.Member{Node: node, DataCentre: old.GetDataCentre(), Address: old.GetAddress(), State: to}
+	member := withState(r.GetMember(), to)
 	if m.store.Set(m.newRecord(member, r.GetEpoch(), r.GetStep()+1)) {
 		m.Count(`hibiscusrock_member_accusations_total{state="` + to.String() + `"}`)
 		m.Event(event.PeerChanged).WithField("member", node).WithField("state", to.String()).Info("member changed state")
--- a/pkg/node/connected.go
+++ b/pkg/node/connected.go
@@ -157,7 +157,11 @@
 
 // offerSnapshot brings a configuration into force if it is newer.
 func (n *Node) offerSnapshot(revision int64, content []byte, from string) {
-	err := n.snapshots.Offer(revision, content)
+	n.noteOffer(n.snapshots.Offer(revision, content), revision, from)
+}
+
+// noteOffer logs what became of an offered configuration.
+func (n *Node) noteOffer(err error, revision int64, from string) {
 	if fault.Is(err, fault.KindStale) {
 		return
 	}
@@ -188,12 +192,12 @@
 
 // ranks returns this node's rank for a task among the live nodes of the
 // deployment and of its data centre, in an order of its own for each task.
+// Hosts on wider links come first.
 func (n *Node) ranks(task string) (all, local int) {
-	rank := func(node string) uint64 { return xxhash.Sum64String(task + "/" + node) }
-	own := rank(n.settings.Node)
+	own := n.members.Self()
 	for _, member := range n.members.All() {
 		alive := member.GetState() == wire.MemberState_MEMBER_STATE_ALIVE
-		if !alive || cmp.Compare(rank(member.GetNode()), own) >= 0 {
+		if !alive || compareForTask(task, member, own) >= 0 {
 			continue
 		}
 		all++
@@ -204,6 +208,12 @@
 	return all, local
 }
 
+// compareForTask returns a negative number when a goes before b for a task.
+func compareForTask(task string, a, b *wire.Member) int {
+	hash := func(m *wire.Member) uint64 { return xxhash.Sum64String(task + "/" + m.GetNode()) }
+	return cmp.Or(cmp.Compare(b.GetLinkMbps(), a.GetLinkMbps()), cmp.Compare(hash(a), hash(b)))
+}
+
 // sinceHeard returns the time since a peer last answered or called.
 func (n *Node) sinceHeard() time.Duration {
 	return n.Now().Sub(time.Unix(0, n.lastHeard.Load()))
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -109,7 +109,7 @@
 }
 
 func (n *Node) buildFleet() {
-	self := &wire.Member{Node: n.settings.Node, DataCentre: n.settings.DataCentre, Address: n.settings.AdvertiseAddress}
+	self := &wire.Member{Node: n.settings.Node, DataCentre: n.settings.DataCentre, Address: n.settings.AdvertiseAddress, LinkMbps: uint32(n.settings.LinkMbps)}
 	n.records = gossip.New(gossip.WithClock(n.Now), gossip.WithAudience(func() int { return n.members.Len() }))
 	n.members = fleet.NewMembers(n.Common, n.records, self)
 	n.endpoints = fleet.NewEndpoints(n.records, n.members)
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -86,7 +86,8 @@
 // FetchRelease implements wire.DRPCPeerServer.
 func (p *peerHandler) FetchRelease(_ context.Context, in *wire.FetchReleaseRequest) (*wire.FetchReleaseResponse, error) {
 	if p.node.snapshots != nil {
-		return &wire.FetchReleaseResponse{Snapshot: p.node.snapshots.Newest()}, nil
+		packed, err := p.node.snapshots.PackedFor(in.GetHeld())
+		return &wire.FetchReleaseResponse{Snapshot: packed}, err
 	}
 	out := &wire.FetchReleaseResponse{Release: p.node.holder.Release(in.GetSequence())}
 	if in.GetPage() == 0 {
--- a/pkg/node/releases.go
+++ b/pkg/node/releases.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
@@ -40,8 +41,8 @@
 		if member.GetDataCentre() != n.settings.DataCentre {
 			return
 		}
-		if newest := n.snapshots.Newest(); len(newest.GetContent()) <= largestPushed {
-			in.Snapshot = newest
+		if packed, err := n.snapshots.PackedFor(n.heldBy(member.GetNode())); err == nil && len(packed.GetContent()) <= largestPushed {
+			in.Snapshot = packed
 		}
 		return
 	}
@@ -54,7 +55,7 @@
 func (n *Node) take(ctx context.Context, address string, release *wire.SignedRelease, snapshot *wire.Snapshot) {
 	switch {
 	case n.snapshots != nil && snapshot != nil:
-		n.offerSnapshot(snapshot.GetRevision(), snapshot.GetContent(), "peer "+address)
+		n.takeSnapshot(ctx, address, snapshot)
 	case n.snapshots == nil && release != nil:
 		n.offer(ctx, release, n.peerSource(address))
 	default:
@@ -62,6 +63,18 @@
 	}
 }
 
+// takeSnapshot takes in a snapshot from a peer, and fetches one that fits when
+// it is compressed against another than the one held.
+func (n *Node) takeSnapshot(ctx context.Context, address string, packed *wire.Snapshot) {
+	err := n.snapshots.OfferPacked(packed)
+	if fault.Is(err, fault.KindMissing) {
+		n.Count(`hibiscusrock_snapshot_base_missing_total`)
+		n.gossiper.pull(ctx, address)
+		return
+	}
+	n.noteOffer(err, packed.GetRevision(), "peer "+address)
+}
+
 // pullDelay is the time that the store's own news has before a newer
 // configuration is fetched from another data centre, whose bytes are paid for.
 const pullDelay = 500 * time.Millisecond
--- a/pkg/node/sources.go
+++ b/pkg/node/sources.go
@@ -18,7 +18,7 @@
 		return
 	}
 	defer g.fetching.Store(false)
-	out, err := g.control.FetchRelease(ctx, address, &wire.FetchReleaseRequest{})
+	out, err := g.control.FetchRelease(ctx, address, &wire.FetchReleaseRequest{Held: g.held()})
 	if err != nil || (out.GetRelease() == nil && out.GetSnapshot() == nil) {
 		return
 	}
