A kept connection that was forgotten is no failing backend server

Cause: a backend server may drop idle connections early and without notice; what is sent next is reset. The node then took the whole backend server for failing (its rate of failures, the evidence of a move, the breaker), and a connection whose first write failed took it for down, although nothing had been sent. Ruled out by reading: the check for quiet connections sees only resets that have arrived before the request goes out.

Change: a write that sent nothing on a kept connection goes out on a new one; a reset before any byte of an answer on a kept connection is told apart (ErrForgotten), is no evidence against the backend server, and lets other connections rest for half as long over the next 10 s. Its outcome stays unknown. Unused accessors and a constant that net/http has are gone.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -35,6 +35,10 @@
 	// For cautiousTime after a crossed answer, connections rest for restTime.
 	cautiousTime = 10 * time.Second
 	restTime     = 20 * time.Millisecond
+	// After a backend server forgot a connection, others rest at most for this
+	// part of the time that one had rested, for forgetfulTime.
+	forgottenPart = 0.5
+	forgetfulTime = 10 * time.Second
 	// inlineBody is the size up to which a body is written before the answer is read.
 	inlineBody = 32 << 10
 )
@@ -42,6 +46,11 @@
 // ErrNotSent marks a request of which no byte reached the backend server.
 var ErrNotSent = errors.New("not sent")
 
+// ErrForgotten marks a request that went out on a kept connection which was
+// reset without a byte of an answer. The backend server may have dropped the
+// idle connection; the request may have run all the same.
+var ErrForgotten = errors.New("the kept connection was reset")
+
 // Request is one request to a backend server.
 type Request struct {
 	Method string
@@ -63,7 +72,10 @@
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
-	opened uint64
+	// restLimit bounds the rest of connections until restLimitEnds, since the
+	// backend server forgot one that had rested longer.
+	restLimit     time.Duration
+	restLimitEnds time.Time
 	// crossedAt is when an answer to another request was last met.
 	crossedAt time.Time
 }
@@ -74,28 +86,10 @@
 	return c, c.close
 }
 
-// Opened returns the number of connections opened so far.
-func (c *Client) Opened() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.opened
-}
-
 func (c *Client) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	c.dropIdle()
-}
-
-// Reset closes all idle connections.
-func (c *Client) Reset() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.dropIdle()
-}
-
-func (c *Client) dropIdle() {
 	for _, cn := range c.idle {
 		_ = cn.raw.Close()
 	}
@@ -109,6 +103,27 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
+	rested := cn.rested
+	answer, err := c.exchange(ctx, cn, r)
+	if rested == 0 || err == nil || ctx.Err() != nil {
+		return answer, err
+	}
+	if errors.Is(err, ErrNotSent) {
+		// A broken idle connection says nothing of the backend server.
+		if cn, err = c.dial(ctx); err != nil {
+			return nil, errors.Join(ErrNotSent, err)
+		}
+		return c.exchange(ctx, cn, r)
+	}
+	if cn.wasForgotten(err) {
+		c.noteForgotten(rested)
+		err = errors.Join(ErrForgotten, err)
+	}
+	return nil, err
+}
+
+// exchange sends a request on a connection and reads the head of its answer.
+func (c *Client) exchange(ctx context.Context, cn *conn, r *Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = cn.raw.Close() })
 	resp, err := cn.roundTrip(r)
 	if err != nil {
@@ -132,12 +147,14 @@
 	if once {
 		limit = maxIdleOnce
 	}
+	limit = min(limit, c.currentRestLimit())
 	for {
 		cn := c.takeIdle()
 		if cn == nil {
 			return c.dial(ctx)
 		}
-		if idle := c.now().Sub(cn.lastUsed); idle < min(limit, cn.idleTimeout) && cn.isQuiet() {
+		cn.rested = max(c.now().Sub(cn.lastUsed), 1)
+		if cn.rested < min(limit, cn.idleTimeout) && cn.isQuiet() {
 			return cn, nil
 		}
 		_ = cn.raw.Close()
@@ -173,14 +190,34 @@
 	c.crossedAt = c.now()
 }
 
+// noteForgotten lets connections rest for less after the backend server forgot
+// one that had rested for the given time.
+func (c *Client) noteForgotten(rested time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := time.Duration(forgottenPart * float64(rested))
+	if c.now().Before(c.restLimitEnds) {
+		limit = min(limit, c.restLimit)
+	}
+	c.restLimit = limit
+	c.restLimitEnds = c.now().Add(forgetfulTime)
+}
+
+// currentRestLimit returns the longest rest after which a connection is used again.
+func (c *Client) currentRestLimit() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.now().Before(c.restLimitEnds) {
+		return c.restLimit
+	}
+	return maxIdle
+}
+
 func (c *Client) dial(ctx context.Context) (*conn, error) {
 	raw, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, err
 	}
-	c.mu.Lock()
-	c.opened++
-	c.mu.Unlock()
 	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), idleTimeout: maxIdle}, nil
 }
 
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,13 +12,16 @@
 	"time"
 )
 
-const statusSwitchingProtocols = 101
-
 // conn is one connection; it carries one request at a time.
 type conn struct {
-	raw         net.Conn
-	reader      *bufio.Reader
-	lastUsed    time.Time
+	raw      net.Conn
+	reader   *bufio.Reader
+	lastUsed time.Time
+	// rested is the time since the last use when a request took the connection; 0
+	// on a new one.
+	rested time.Duration
+	// answered is set once a byte arrived after the request was written.
+	answered    bool
 	idleTimeout time.Duration
 	// writing is closed once a long body was written, or its writing failed.
 	writing chan struct{}
@@ -29,6 +33,7 @@
 // written while the answer is awaited, because a backend server may answer
 // before it has read the body.
 func (cn *conn) roundTrip(r *Request) (*http.Response, error) {
+	cn.answered = false
 	head := encodeHead(r)
 	first := head
 	if len(r.Body) <= inlineBody {
@@ -57,14 +62,23 @@
 	}()
 }
 
+// wasForgotten reports whether an error on a kept connection is that of one
+// which the other end had dropped before.
+func (cn *conn) wasForgotten(err error) bool {
+	gone := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+	return gone && !cn.answered
+}
+
 // readHead reads the head of the final answer.
 func (cn *conn) readHead(method string) (*http.Response, error) {
+	_, err := cn.reader.Peek(1)
+	cn.answered = err == nil
 	for {
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == statusSwitchingProtocols {
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
 		}
 	}
--- a/pkg/fleet/observed.go
+++ b/pkg/fleet/observed.go
@@ -15,7 +15,6 @@
 	failureHalfLife = 2 * time.Second
 	// maxWorkKinds bounds the kinds of work whose time is kept for one endpoint.
 	maxWorkKinds = 64
-	permille     = 1000
 )
 
 // Report is what an owner node says of its backend server with each answer.
--- a/pkg/request/backends.go
+++ b/pkg/request/backends.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/admission"
 	"github.com/hibiscusrock/hibiscusrock/pkg/backend"
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
@@ -103,12 +104,11 @@
 
 // report adds what another request like this one would meet to an answer.
 func (b *Backend) report(work admission.Work, answer *wire.CallAnswer) {
-	const permille = 1000
 	forecast := b.gate.Forecast(work)
 	answer.InFlight = int32(b.gate.InFlight())
 	answer.WaitMicros = forecast.Wait.Microseconds()
 	answer.WorkMicros = forecast.Work.Microseconds()
-	answer.FailingPermille = uint32(b.health.failing() * permille)
+	answer.FailingPermille = uint32(b.health.failing() * bundle.FullPermille)
 }
 
 // Announce takes an announcement of a backend server on this host, which is
--- a/pkg/request/entry.go
+++ b/pkg/request/entry.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fleet"
 	"github.com/hibiscusrock/hibiscusrock/pkg/peer"
@@ -338,12 +339,11 @@
 }
 
 func reportOf(answer *wire.CallAnswer) fleet.Report {
-	const permille = 1000
 	return fleet.Report{
 		Busy:    int(answer.GetInFlight()),
 		Wait:    time.Duration(answer.GetWaitMicros()) * time.Microsecond,
 		Work:    time.Duration(answer.GetWorkMicros()) * time.Microsecond,
-		Failing: float64(answer.GetFailingPermille()) / permille,
+		Failing: float64(answer.GetFailingPermille()) / bundle.FullPermille,
 	}
 }
 
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -224,7 +224,11 @@
 		r.outcome = admission.Overloaded
 		return r.unknown(verdict.DeadlinePassed)
 	case !r.owner.isDead(r.record.GetAddress()):
-		r.finish(true, took)
+		// A connection that was forgotten while idle is no failure of the
+		// backend server.
+		if !errors.Is(err, backend.ErrForgotten) {
+			r.finish(true, took)
+		}
 		return r.unknown(verdict.AnswerLost)
 	}
 	// One death fails all requests in flight, but is one piece of evidence.
