A backend server whose address another took gets nothing more; budgets for large fleets

A restarted node adopted the old name from the registry and sent to it for 3 s after the new one had announced itself: 421 each time (2,700 of 40,089 arrivals at the quote service), each costing a retry of the budget.

Change: a younger backend server at an address, or a 421, takes the older one down at once (new reason backend_server_replaced). Retry budgets of a fleet start empty after a restart, since a node that knew of nobody took the whole burst for its own; a part of the burst below one retry is spent by chance (a fleet of more than 100 nodes could not retry at all). What is kept for the calls of repeated requests is decided in the product, no longer in the adapter.

--- a/pkg/backend/client_test.go
+++ b/pkg/backend/client_test.go
@@ -66,6 +66,22 @@
 	_ = conn.Close()
 }
 
+// resetSecond answers the first request of a connection and resets the second
+// after a part of its answer.
+func resetSecond(part string) func(*standin, int64, *net.TCPConn) bool {
+	return func(_ *standin, n int64, conn *net.TCPConn) bool {
+		if n == 1 {
+			return answerWell(conn)
+		}
+		if part != "" {
+			_, _ = conn.Write([]byte(part))
+			time.Sleep(20 * time.Millisecond)
+		}
+		reset(conn)
+		return false
+	}
+}
+
 func get(t *testing.T, c *Client, once bool) error {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -91,28 +107,8 @@
 		wantErrors    []error
 		wantForgotten bool
 	}{
-		"kept, before the answer": {
-			serve: func(_ *standin, n int64, conn *net.TCPConn) bool {
-				if n == 2 {
-					reset(conn)
-					return false
-				}
-				return answerWell(conn)
-			},
-			wantErrors: []error{nil, ErrForgotten}, wantForgotten: true,
-		},
-		"kept, within the answer": {
-			serve: func(_ *standin, n int64, conn *net.TCPConn) bool {
-				if n == 2 {
-					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n"))
-					time.Sleep(20 * time.Millisecond)
-					reset(conn)
-					return false
-				}
-				return answerWell(conn)
-			},
-			wantErrors: []error{nil, errAny},
-		},
+		"kept, before the answer": {serve: resetSecond(""), wantErrors: []error{nil, ErrForgotten}, wantForgotten: true},
+		"kept, within the answer": {serve: resetSecond("HTTP/1.1 200 OK\r\n"), wantErrors: []error{nil, errAny}},
 		"new": {
 			serve: func(_ *standin, _ int64, conn *net.TCPConn) bool {
 				reset(conn)
@@ -127,14 +123,9 @@
 			c, cleanUp := NewClient(s.address, time.Now)
 			defer cleanUp()
 			for i, want := range test.wantErrors {
-				err := get(t, c, false)
-				matches := (want == nil && err == nil) || (want == errAny && err != nil && !errors.Is(err, ErrForgotten)) || (want != nil && errors.Is(err, want))
-				if !matches {
+				if err := get(t, c, false); !isWanted(err, want) {
 					t.Errorf("request %d: got %v, want %v", i, err, want)
 				}
-				if errors.Is(err, ErrNotSent) {
-					t.Errorf("request %d: got %v, but it was sent", i, err)
-				}
 			}
 			if got := c.currentRestLimit() < maxIdle; got != test.wantForgotten {
 				t.Errorf("got a shorter rest %v, want %v", got, test.wantForgotten)
@@ -143,6 +134,14 @@
 	}
 }
 
+// isWanted reports whether an error of a request that was sent is the one wanted.
+func isWanted(err, want error) bool {
+	if want == errAny {
+		return err != nil && !errors.Is(err, ErrForgotten) && !errors.Is(err, ErrNotSent)
+	}
+	return errors.Is(err, want) && !errors.Is(err, ErrNotSent)
+}
+
 var errAny = errors.New("any")
 
 // TestForgetfulBackendServer: once a backend server forgot an idle connection,
--- a/pkg/lab/lab.go
+++ b/pkg/lab/lab.go
@@ -32,7 +32,7 @@
 	command := &cli.Command{
 		Name:     "lab",
 		Usage:    "stand-ins and experiments of hibiscusrock",
-		Commands: []*cli.Command{platformCommand(), backendCommand(), demoCommand(), benchCommand(), slopesCommand(), recordCommand(), replayCommand()},
+		Commands: []*cli.Command{platformCommand(), backendCommand(), demoCommand(), benchCommand(), slopesCommand(), recordCommand(), replayCommand(), soakCommand()},
 	}
 	if err := command.Run(ctx, args); err != nil {
 		_, _ = os.Stderr.WriteString("lab: " + err.Error() + "\n")
--- a/pkg/lab/soak/callers.go
+++ b/pkg/lab/soak/callers.go
@@ -27,13 +27,6 @@
 	host   int
 }
 
-func (c call) service() string {
-	if c.method == http.MethodPost {
-		return orderService
-	}
-	return quoteService
-}
-
 // callers send requests through the nodes of their own hosts, on connections
 // that they keep until the node's process is gone.
 type callers struct {
--- a/pkg/node/connected.go
+++ b/pkg/node/connected.go
@@ -85,14 +85,7 @@
 	},
 		request.WithHeaders(n.link.Headers),
 		request.WithCaller(n.settings.CallerService),
-		request.WithBudget(request.NewSharedBudget(n.Now, n.retryBurst)))
-}
-
-// retryBurst returns this node's part of the retries that the deployment may
-// make at once. A part is kept for the calls that repeated requests make.
-func (n *Node) retryBurst() float64 {
-	const usable = 0.5
-	return usable * n.settings.Retries.Burst / float64(max(n.members.Len(), 1))
+		request.WithBudget(request.NewSharedBudget(n.Now, n.settings.Retries.Burst, n.members.Len)))
 }
 
 // followStore follows what the operators write.
--- a/pkg/request/backends.go
+++ b/pkg/request/backends.go
@@ -135,12 +135,24 @@
 	} else {
 		b.gate.Open()
 	}
+	o.supersede(record)
 	if changed {
 		o.Event(event.BackendServerChanged).WithField("instance", record.GetInstance()).WithField("number", record.GetNumber()).WithField("service", record.GetService()).WithField("version", record.GetVersion()).WithField("draining", record.GetDraining()).Info("backend server changed")
 		o.hooks.Announce(record)
 	}
 }
 
+// supersede marks backend servers down whose address a younger one announces.
+func (o *Owner) supersede(record *wire.Endpoint) {
+	for _, b := range o.Backends() {
+		old := b.Record()
+		sameAddress := old.GetAddress() == record.GetAddress() && old.GetInstance() != record.GetInstance()
+		if sameAddress && old.GetBornUnixMs() < record.GetBornUnixMs() {
+			o.markDown(b)
+		}
+	}
+}
+
 // sameAnnouncement reports whether two announcements differ in nothing but the
 // time that a cold backend server has left and their numbers.
 func sameAnnouncement(a, b *wire.Endpoint) bool {
--- a/pkg/request/budget.go
+++ b/pkg/request/budget.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,7 +23,11 @@
 	// burst returns the retries that a service may make at once.
 	burst     func() float64
 	perSecond float64
-	shards    [budgetShards]budgetShard
+	// shared is set when burst is a part of what the fleet may spend, which may
+	// be less than one retry.
+	shared bool
+	random func() float64
+	shards [budgetShards]budgetShard
 }
 
 type budgetShard struct {
@@ -40,14 +45,26 @@
 	return newBudget(now, func() float64 { return budgetTokens }, tokensPerSecond)
 }
 
-// NewSharedBudget returns a budget whose burst is this node's part of what the
-// fleet may spend, and which earns by requests alone.
-func NewSharedBudget(now func() time.Time, burst func() float64) *Budget {
-	return newBudget(now, burst, 0)
+// Parts of the fleet's bounds that requests themselves may spend. The rest is
+// for the calls that repeated requests make, which count as retries as well:
+// where each request makes a call, both parts are nearly equal.
+const (
+	usableRatio = 0.6
+	usableBurst = 0.5
+)
+
+// NewSharedBudget returns this node's part of a budget that holds for the whole
+// fleet: it earns by requests alone and starts empty, since an earlier life of
+// the node may have spent what there was. The function burst returns the
+// retries that the fleet may make at once, nodes the number of nodes.
+func NewSharedBudget(now func() time.Time, burst float64, nodes func() int) *Budget {
+	b := newBudget(now, func() float64 { return usableBurst * burst / float64(max(nodes(), 1)) }, 0)
+	b.shared = true
+	return b
 }
 
 func newBudget(now func() time.Time, burst func() float64, perSecond float64) *Budget {
-	b := &Budget{now: now, burst: burst, perSecond: perSecond}
+	b := &Budget{now: now, burst: burst, perSecond: perSecond, random: rand.Float64}
 	for i := range b.shards {
 		b.shards[i].services = make(map[string]*tokens)
 	}
@@ -60,7 +77,10 @@
 	defer sh.mu.Unlock()
 	t := sh.services[service]
 	if t == nil {
-		t = &tokens{left: b.burst(), at: b.now()}
+		t = &tokens{at: b.now()}
+		if !b.shared {
+			t.left = b.burst()
+		}
 		sh.services[service] = t
 	}
 	change(t)
@@ -70,12 +90,24 @@
 func (b *Budget) Earn(service string, retryPercent int) {
 	b.with(service, func(t *tokens) {
 		now := b.now()
-		earned := float64(retryPercent)/percentOfRequest + now.Sub(t.at).Seconds()*b.perSecond
-		t.left = min(t.left+earned, b.burst())
+		earned := b.usable()*float64(retryPercent)/percentOfRequest + now.Sub(t.at).Seconds()*b.perSecond
+		if b.shared {
+			// What a request itself earns stays for its own retries.
+			t.left = min(t.left, b.burst()) + earned
+		} else {
+			t.left = min(t.left+earned, b.burst())
+		}
 		t.at = now
 	})
 }
 
+func (b *Budget) usable() float64 {
+	if b.shared {
+		return usableRatio
+	}
+	return 1
+}
+
 // Left returns the retries that a service may make now.
 func (b *Budget) Left(service string) float64 {
 	left := 0.0
@@ -83,13 +115,19 @@
 	return left
 }
 
-// Spend takes one retry out of the budget, or returns false.
+// Spend takes one retry out of the budget, or returns false. A node whose part
+// of the fleet's burst is less than one retry spends what it has on a chance of
+// that size, so that the fleet as a whole spends what it may.
 func (b *Budget) Spend(service string) bool {
 	spent := false
 	b.with(service, func(t *tokens) {
-		if t.left >= 1 {
+		switch {
+		case t.left >= 1:
 			t.left--
 			spent = true
+		case b.burst() < 1 && t.left > 0:
+			spent = b.random() < t.left
+			t.left = 0
 		}
 	})
 	return spent
--- a/pkg/request/heartbeats_test.go
+++ b/pkg/request/heartbeats_test.go
@@ -1,12 +1,16 @@
 package request
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/quarantine"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
+	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
@@ -69,3 +73,66 @@
 		})
 	}
 }
+
+// TestYoungerTakesTheAddress: once a younger backend server announces the
+// address of another one, the older gets nothing more, whatever heartbeats of
+// its life are still on the way.
+func TestYoungerTakesTheAddress(t *testing.T) {
+	record := func(instance, address string, born int64) *wire.Endpoint {
+		r := testRecord(born, 1, false)
+		r.Instance, r.Address = instance, address
+		return r
+	}
+	tests := map[string]struct {
+		records []*wire.Endpoint
+		want    map[string]bool
+	}{
+		"replaced":         {[]*wire.Endpoint{record("a", "127.0.0.1:1", 1), record("b", "127.0.0.1:1", 2)}, map[string]bool{"a": true, "b": false}},
+		"another address":  {[]*wire.Endpoint{record("a", "127.0.0.1:1", 1), record("b", "127.0.0.1:2", 2)}, map[string]bool{"a": false, "b": false}},
+		"the younger went": {[]*wire.Endpoint{record("a", "127.0.0.1:1", 2), record("b", "127.0.0.1:1", 1)}, map[string]bool{"a": false, "b": false}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := newTestOwner(t)
+			for _, r := range test.records {
+				o.Heartbeat(r, nil)
+			}
+			for _, b := range o.Backends() {
+				if got, want := b.isDown(), test.want[b.Record().GetInstance()]; got != want {
+					t.Errorf("%s: got down %v, want %v", b.Record().GetInstance(), got, want)
+				}
+			}
+		})
+	}
+}
+
+// TestReplacedBackendServer: an answer that another backend server has the
+// address ends the use of the one that was expected after a single request.
+func TestReplacedBackendServer(t *testing.T) {
+	arrivals := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrivals++
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}))
+	defer server.Close()
+	o := newTestOwner(t)
+	o.headers.Expect = "Expect-Instance"
+	record := testRecord(1, 1, false)
+	record.Address = server.Listener.Addr().String()
+	o.Adopt(record)
+	in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "i", Method: http.MethodGet, Target: "/", RemainingMs: 1000, Idempotent: true}
+	for i, want := range []verdict.Reason{verdict.BackendReplaced, verdict.UnknownInstance, verdict.UnknownInstance} {
+		err := o.Serve(context.Background(), in, func(answer *wire.CallAnswer) error {
+			if got := verdict.Reason(answer.GetReason()); got != want || answer.GetVerdict() != wire.Verdict_VERDICT_NOT_RUN {
+				t.Errorf("request %d: got %s, want %s, not run", i, got, want)
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if arrivals != 1 {
+		t.Errorf("the backend server got %d requests, want 1", arrivals)
+	}
+}
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -57,6 +57,12 @@
 		return r.fail(ctx, err, life, started)
 	}
 	defer answer.Close()
+	if r.isReplaced(answer) {
+		// Another backend server lives at the address; this one is gone.
+		r.outcome = admission.Failed
+		r.owner.markDown(r.backend)
+		return r.notRun(verdict.BackendReplaced)
+	}
 	if r.isShed(answer) {
 		return r.shed(answer)
 	}
@@ -113,7 +119,13 @@
 	if name == "" {
 		return false
 	}
-	return answer.Header().Get(name) != "" || answer.Status() == http.StatusMisdirectedRequest
+	return answer.Header().Get(name) != ""
+}
+
+// isReplaced reports whether the answer says that the request did not run,
+// because another backend server than the expected one got it.
+func (r *run) isReplaced(answer *backend.Answer) bool {
+	return r.owner.headers.Expect != "" && answer.Status() == http.StatusMisdirectedRequest
 }
 
 // ownAnswer returns the head of the answer to this request. An answer to
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -74,6 +74,7 @@
 	BackendFailing    Reason = "backend_server_failing"
 	BackendRefused    Reason = "backend_server_refused_connection"
 	BackendShed       Reason = "backend_server_shed"
+	BackendReplaced   Reason = "backend_server_replaced"
 	BackendCrashed    Reason = "backend_server_crashed"
 	AnswerLost        Reason = "answer_lost"
 	PeerUnreachable   Reason = "peer_unreachable"
@@ -111,6 +112,7 @@
 	BackendFailing:    {http.StatusServiceUnavailable, "try again; the backend server fails its requests"},
 	BackendRefused:    {http.StatusServiceUnavailable, "try again; the backend server does not accept connections"},
 	BackendShed:       {http.StatusServiceUnavailable, "try again later; the backend server shed the request"},
+	BackendReplaced:   {http.StatusServiceUnavailable, "try again; another backend server has taken the address"},
 	BackendCrashed:    {http.StatusBadGateway, "look up whether the request took effect before you send it again"},
 	AnswerLost:        {http.StatusBadGateway, "look up whether the request took effect before you send it again"},
 	PeerUnreachable:   {http.StatusServiceUnavailable, "try again; the node of the backend server cannot be reached"},
@@ -200,7 +202,7 @@
 
 // ReachedBackend reports whether the request may have reached a backend server.
 func (r *Refusal) ReachedBackend() bool {
-	return r.verdict != NotRun || r.reason == BackendShed
+	return r.verdict != NotRun || r.reason == BackendShed || r.reason == BackendReplaced
 }
 
 // Write sends the refusal to a caller.
