Requests for a replaced backend server run on its successor; node_joined line

Change: the owner runs such a request on the backend server of the same service and version that took the place; another service or version is refused as before. A line node_joined says after which time and by which cause a restarted node serves.

Test: TestRequestForReplaced.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -13,6 +13,7 @@
 // The kinds of log lines.
 const (
 	NodeStarted            Name = "node_started"
+	NodeJoined             Name = "node_joined"
 	NodeStopping           Name = "node_stopping"
 	NodeStopped            Name = "node_stopped"
 	StopTimedOut           Name = "stop_timed_out"
@@ -62,6 +63,7 @@
 	const run = "request, instance, route, reason, verdict, table, in_flight, wait_ms, work_ms, remaining_ms, repeated"
 	return []Doc{
 		{NodeStarted, "The node listens and serves.", "sequence"},
+		{NodeJoined, "The node has heard what others know of its host, or waited long enough for it, and serves.", "cause, after_ms, members"},
 		{NodeStopping, "The node was told to stop; others hear of it first.", ""},
 		{NodeStopped, "The node has stopped.", ""},
 		{StopTimedOut, "Requests were still in flight at the end of the stop timeout.", "error"},
--- a/pkg/node/joiner.go
+++ b/pkg/node/joiner.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
@@ -130,12 +131,18 @@
 }
 
 // join lets this node serve and takes the held heartbeats in.
-func (j *joiner) join(ctx context.Context) {
+func (j *joiner) join(ctx context.Context, cause string) {
 	j.mu.Lock()
 	held := j.held
 	j.held = nil
-	j.joined.Store(true)
+	before := j.joined.Swap(true)
 	j.mu.Unlock()
+	if before {
+		return
+	}
+	j.Event(event.NodeJoined).WithFields(logrus.Fields{
+		"cause": cause, "after_ms": j.Now().Sub(j.begun).Milliseconds(), "members": j.members.Len(),
+	}).Info("node joined")
 	for _, record := range held {
 		j.takeHeartbeat(ctx, record)
 	}
@@ -144,7 +151,7 @@
 // run registers this node, joins the others and keeps both up.
 func (j *joiner) run(ctx context.Context) {
 	registered := loop(ctx, j.register)
-	patience := time.AfterFunc(joinPatience, func() { j.join(ctx) })
+	patience := time.AfterFunc(joinPatience, func() { j.join(ctx, "patience") })
 	defer patience.Stop()
 	pauses := newJoinBackoff(lonelyPeriod)
 	for ctx.Err() == nil {
@@ -153,7 +160,7 @@
 			continue
 		}
 		if j.registrar.read(ctx) && j.callAll(ctx) && !j.joined.Load() {
-			j.join(ctx)
+			j.join(ctx, "peers")
 		}
 		common.Sleep(ctx, pauses.NextBackOff())
 	}
--- a/pkg/request/backends.go
+++ b/pkg/request/backends.go
@@ -85,6 +85,13 @@
 
 func (b *Backend) isDown() bool { return b.Record().GetDown() }
 
+// serves reports whether the backend server is up and of the service and version
+// that a request is for.
+func (b *Backend) serves(in *wire.CallRequest) bool {
+	record := b.Record()
+	return record.GetService() == in.GetService() && record.GetVersion() == in.GetVersion() && !record.GetDown()
+}
+
 // untilDown returns a context for a request. That of an idempotent request
 // ends when the backend server is found down, so that another can run it.
 func (b *Backend) untilDown(ctx context.Context, idempotent bool) (context.Context, context.CancelFunc) {
--- a/pkg/request/heartbeats_test.go
+++ b/pkg/request/heartbeats_test.go
@@ -136,3 +136,40 @@
 		t.Errorf("the backend server got %d requests, want 1", arrivals)
 	}
 }
+
+// TestRequestForReplaced: a request that names a backend server which another
+// one of its service and version replaced runs on that; any other is refused.
+func TestRequestForReplaced(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok"))
+	}))
+	defer server.Close()
+	tests := map[string]struct {
+		change func(*wire.Endpoint)
+		want   verdict.Reason
+	}{
+		"same service and version": {func(*wire.Endpoint) {}, ""},
+		"another version":          {func(e *wire.Endpoint) { e.Version = "v2" }, verdict.UnknownInstance},
+		"another service":          {func(e *wire.Endpoint) { e.Service = "other" }, verdict.UnknownInstance},
+		"draining":                 {func(e *wire.Endpoint) { e.Draining = true }, verdict.UnknownInstance},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := newTestOwner(t)
+			younger := testRecord(2, 1, false)
+			younger.Instance, younger.Address = "younger", server.Listener.Addr().String()
+			test.change(younger)
+			o.Heartbeat(younger, nil)
+			in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "older", Method: http.MethodGet, Target: "/", RemainingMs: 1000, Idempotent: true}
+			err := o.Serve(context.Background(), in, func(answer *wire.CallAnswer) error {
+				if got := verdict.Reason(answer.GetReason()); got != test.want {
+					t.Errorf("got %q, want %q", got, test.want)
+				}
+				return nil
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
--- a/pkg/request/owner.go
+++ b/pkg/request/owner.go
@@ -118,16 +118,11 @@
 	if o.ward.Blocked(in.GetFingerprint()) {
 		return nil, verdict.Refuse(verdict.NotRun, verdict.CrashCausing)
 	}
-	o.mu.RLock()
-	b := o.backends[in.GetInstance()]
-	o.mu.RUnlock()
+	b := o.wanted(in)
 	if b == nil {
 		return nil, verdict.Refuse(verdict.NotRun, verdict.UnknownInstance)
 	}
 	record := b.Record()
-	if record.GetService() != in.GetService() || record.GetVersion() != in.GetVersion() || record.GetDown() {
-		return nil, verdict.Refuse(verdict.NotRun, verdict.UnknownInstance)
-	}
 	if o.hooks.Halted(record.GetService(), record.GetVersion()) {
 		return nil, verdict.Refuse(verdict.NotRun, verdict.VersionHalted)
 	}
@@ -137,6 +132,24 @@
 	return b, nil
 }
 
+// wanted returns the backend server that a request names, or one of the same
+// service and version that took its place: the news of that may still be on its
+// way to the entry node.
+func (o *Owner) wanted(in *wire.CallRequest) *Backend {
+	o.mu.RLock()
+	named := o.backends[in.GetInstance()]
+	o.mu.RUnlock()
+	if named != nil && named.serves(in) {
+		return named
+	}
+	for _, b := range o.Backends() {
+		if b.serves(in) && !b.Record().GetDraining() {
+			return b
+		}
+	}
+	return nil
+}
+
 // workOf describes a request to the gate.
 func (o *Owner) workOf(in *wire.CallRequest, now time.Time) admission.Work {
 	w := admission.Work{
