--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -31,8 +31,6 @@
 	Failed Outcome = iota
 	Succeeded
 	Overloaded
-	// Overdue work was given up; it would have taken longer.
-	Overdue
 )
 
 // Forecast is what one more request would meet at a gate.
@@ -299,8 +297,6 @@
 		if full {
 			g.limit = min(g.limit+1/max(g.limit, lowestLimit), g.slots)
 		}
-	case Overdue:
-		g.estimates.add(r.kind, g.now().Sub(r.started))
 	case Overloaded:
 		if g.now().Sub(g.lastFall) >= fallPause {
 			g.limit = max(g.limit*overloadFactor, lowestLimit)
--- a/pkg/peer/alive.go
+++ b/pkg/peer/alive.go
@@ -44,7 +44,7 @@
 	err := serve(func(answer *wire.CallAnswer) error {
 		mu.Lock()
 		defer mu.Unlock()
-		answered = answered || !answer.GetProgress()
+		answered = true
 		return send(answer)
 	})
 	close(stop)
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -19,7 +19,10 @@
 )
 
 const (
-	dialTimeout        = 400 * time.Millisecond
+	dialTimeout = 400 * time.Millisecond
+	// connectTimeout is above the round trip between the regions farthest apart,
+	// 110 ms; a lost packet is cheaper to send to another node.
+	connectTimeout     = 150 * time.Millisecond
 	idleExpiration     = 30 * time.Second
 	connectionsPerPeer = 32
 	connectionsInAll   = 2048
@@ -27,7 +30,7 @@
 	softCancelGrace    = 5 * time.Millisecond
 	// A pooled connection unused for provenFor is pinged before it carries a call.
 	provenFor    = 250 * time.Millisecond
-	proofTimeout = 250 * time.Millisecond
+	proofTimeout = connectTimeout
 )
 
 // ErrSilent marks a call whose peer gave no sign of life for too long.
@@ -72,14 +75,15 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	deadline := time.Now().Add(dialTimeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	raw, err := (&net.Dialer{LocalAddr: c.local}).DialContext(ctx, "tcp", address)
+	raw, err := (&net.Dialer{LocalAddr: c.local, Timeout: connectTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		c.Count(`hibiscusrock_peer_dial_failures_total`)
 		return nil, fault.Wrap(err, fault.KindUnavailable, "cannot connect to "+address, "check that the node runs and that the network reaches it")
 	}
-	if err := connect(raw, c.secret); err != nil {
+	if err := connect(raw, c.secret, deadline); err != nil {
 		_ = raw.Close()
 		c.Count(`hibiscusrock_peer_handshake_failures_total`)
 		return nil, err
@@ -89,21 +93,33 @@
 	return &conn{Conn: drpcconn.NewWithOptions(counted, drpcconn.Options{Manager: managerOptions()}), lastAnswer: c.Now()}, nil
 }
 
-// take returns a connection that is known to answer.
+// take returns a connection that is known to answer. Once one did not, the
+// others to that peer are not tried either.
 func (c *Client) take(ctx context.Context, address string) (*conn, error) {
+	cn, ok := c.pool.Take(address)
+	if !ok {
+		return c.dial(ctx, address)
+	}
+	if c.Now().Sub(cn.lastAnswer) < provenFor || c.proves(ctx, cn) {
+		return cn, nil
+	}
+	c.Count(`hibiscusrock_peer_silent_connections_total`)
+	_ = cn.Close()
+	c.dropIdle(address)
+	if err := ctx.Err(); err != nil {
+		return nil, fault.Wrap(err, fault.KindTimeout, "no connection to "+address+" answered", "check the network to that node")
+	}
+	return c.dial(ctx, address)
+}
+
+// dropIdle closes the pooled connections to a peer.
+func (c *Client) dropIdle(address string) {
 	for {
 		cn, ok := c.pool.Take(address)
 		if !ok {
-			return c.dial(ctx, address)
-		}
-		if c.Now().Sub(cn.lastAnswer) < provenFor || c.proves(ctx, cn) {
-			return cn, nil
+			return
 		}
-		c.Count(`hibiscusrock_peer_silent_connections_total`)
 		_ = cn.Close()
-		if err := ctx.Err(); err != nil {
-			return nil, fault.Wrap(err, fault.KindTimeout, "no connection to "+address+" answered", "check the network to that node")
-		}
 	}
 }
 
@@ -226,13 +242,8 @@
 		return fault.Wrap(err, fault.KindUnavailable, "the answer of "+address+" was cut", "")
 	}
 	c.Count(`hibiscusrock_peer_silent_calls_total`)
-	for {
-		cn, ok := c.pool.Take(address)
-		if !ok {
-			return errors.Join(ErrSilent, err)
-		}
-		_ = cn.Close()
-	}
+	c.dropIdle(address)
+	return errors.Join(ErrSilent, err)
 }
 
 // Traffic returns the bytes sent and received on connections this node opened.
--- a/pkg/peer/handshake.go
+++ b/pkg/peer/handshake.go
@@ -36,8 +36,8 @@
 
 // connect proves to the server at the other end that this node knows the
 // deployment secret, and checks that the server knows it as well.
-func connect(conn net.Conn, secret []byte) error {
-	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+func connect(conn net.Conn, secret []byte, deadline time.Time) error {
+	_ = conn.SetDeadline(deadline)
 	ours := newNonce()
 	if _, err := conn.Write(append([]byte(magic), ours...)); err != nil {
 		return refuse(err, "the peer closed the connection")
--- a/pkg/request/entry.go
+++ b/pkg/request/entry.go
@@ -32,8 +32,6 @@
 	// freshReport is the age up to which an owner's report decides a refusal by
 	// the entry node itself.
 	freshReport = 200 * time.Millisecond
-	// avoidTime covers the time in which the membership finds a dead node.
-	avoidTime = 2 * time.Second
 	// Bounds of Retry-After: sooner than the shortest nothing has changed; an
 	// unknown cause is tried again after the default.
 	shortestRetryAfter = 50 * time.Millisecond
@@ -210,9 +208,6 @@
 	case verdict.Draining, verdict.UnknownInstance, verdict.VersionHalted, verdict.BackendFailing, verdict.Stopping, verdict.PeerUnreachable:
 		// These refusals cost no backend server any work.
 		return len(c.tried) < maxRefusals
-	case verdict.BackendOverdue:
-		// The retry was paid for when the attempt was given up.
-		return true
 	case verdict.BackendCrashed:
 		c.crashes++
 	}
@@ -248,7 +243,6 @@
 	in.RemainingMs = left.Milliseconds()
 	in.ObjectiveMs = c.objective.Sub(now).Milliseconds()
 	in.Repeated = c.reached > 0
-	in.OverdueMs = overdueAfter(c, choice, left).Milliseconds()
 	in.MaxWaitMicros = 0
 	if c.probes < maxProbes {
 		in.MaxWaitMicros = choice.MaxWait.Microseconds()
@@ -277,7 +271,7 @@
 	case verdict.VersionHalted, verdict.BackendFailing:
 		c.excluded = append(c.excluded, version)
 	case verdict.PeerUnreachable, verdict.PeerSilent:
-		endpoint.Observed().Avoid(e.Now().Add(avoidTime))
+		e.picker.Unreachable(endpoint)
 	}
 	return refusal
 }
@@ -322,18 +316,12 @@
 	ctx, cancel := context.WithDeadline(c.ctx, c.deadline.Add(hopAllowance))
 	defer cancel()
 	var refusal *verdict.Refusal
-	givenUp := false
 	received := func(answer *wire.CallAnswer) error {
-		if answer.GetOverdue() && !c.started && e.budget.Spend(c.request.GetService()) {
-			givenUp = true
-		}
-		if givenUp {
-			return errOverdue
-		}
 		if answer.GetProgress() {
 			return nil
 		}
 		if !c.started {
+			e.picker.Answered(endpoint)
 			endpoint.Observed().Observe(e.Now(), c.route.Name, c.route.Priority, reportOf(answer))
 			if refusal = e.refusalOf(c, answer); refusal != nil {
 				return nil
@@ -343,9 +331,6 @@
 		return c.pass(answer)
 	}
 	err := e.dispatch(ctx, endpoint.Record().GetNode(), c.request, received)
-	if givenUp {
-		return verdict.Refuse(verdict.Unknown, verdict.BackendOverdue)
-	}
 	if err == nil || refusal != nil {
 		return refusal
 	}
--- a/pkg/request/owner.go
+++ b/pkg/request/owner.go
@@ -177,10 +177,6 @@
 	defer func() { leave(run.outcome) }()
 	ctx, cancel := b.untilDown(ctx, in.GetIdempotent())
 	defer cancel()
-	if run.overdue = watchOverdue(in, send, cancel); run.overdue != nil {
-		run.send = run.overdue.pass
-		defer run.overdue.stop()
-	}
 	if o.claims == nil || in.GetIdempotent() || in.GetIdempotencyKey() == "" {
 		return run.do(ctx)
 	}
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -41,7 +41,6 @@
 	work     admission.Work
 	deadline time.Time
 	send     func(*wire.CallAnswer) error
-	overdue  *overdueWatch
 	claim    *booking.Claim
 	outcome  admission.Outcome
 	cold     bool
@@ -230,10 +229,6 @@
 	switch {
 	case r.backend.isDown():
 		return r.unknown(verdict.BackendCrashed)
-	case errors.Is(ctx.Err(), context.Canceled) && r.overdue.stop():
-		r.finish(true, took)
-		r.outcome = admission.Overdue
-		return r.unknown(verdict.BackendOverdue)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return r.unknown(verdict.CallerGone)
 	case ctx.Err() != nil:
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -114,10 +114,7 @@
 	MaxWait time.Duration
 	// Expected is the expected time to an answer.
 	Expected time.Duration
-	// Usual is the mean work for the kind over all endpoints that reported one,
-	// or 0 when none did.
-	Usual time.Duration
-	State fleet.State
+	State    fleet.State
 }
 
 // Picker picks a backend server for a request.
@@ -126,11 +123,12 @@
 	dataCentre string
 	random     func() float64
 	now        func() time.Time
+	reach      *reach
 }
 
 // NewPicker returns a picker that prefers backend servers of dataCentre.
 func NewPicker(now func() time.Time, endpoints *fleet.Endpoints, dataCentre string) *Picker {
-	return &Picker{endpoints: endpoints, dataCentre: dataCentre, random: rand.Float64, now: now}
+	return &Picker{endpoints: endpoints, dataCentre: dataCentre, random: rand.Float64, now: now, reach: newReach(now)}
 }
 
 // Pick returns the usable backend server of a version that answers soonest by
@@ -150,7 +148,7 @@
 // best would cost as much.
 func (p *Picker) best(need Need, endpoints []*fleet.Endpoint) Choice {
 	now := p.now()
-	known, reported := p.meanWork(need, endpoints, now)
+	known := p.meanWork(need, endpoints, now)
 	var best, second Choice
 	for _, e := range endpoints {
 		c := p.cost(need, e, known, now)
@@ -161,9 +159,6 @@
 			second = c
 		}
 	}
-	if reported {
-		best.Usual = known
-	}
 	if second.Endpoint != nil {
 		best.MaxWait = p.maxWait(need, best, second.Cost)
 	}
@@ -186,8 +181,8 @@
 }
 
 // meanWork returns the mean time for a kind of work over the endpoints that
-// reported one, or what is usual when none did.
-func (p *Picker) meanWork(need Need, endpoints []*fleet.Endpoint, now time.Time) (mean time.Duration, reported bool) {
+// reported one.
+func (p *Picker) meanWork(need Need, endpoints []*fleet.Endpoint, now time.Time) time.Duration {
 	total, n := time.Duration(0), time.Duration(0)
 	for _, e := range endpoints {
 		if work := e.Observed().State(now, need.Kind, need.Priority).Work; work > 0 {
@@ -196,12 +191,12 @@
 		}
 	}
 	if n == 0 && need.Usual > 0 {
-		return need.Usual, false
+		return need.Usual
 	}
 	if n == 0 {
-		return defaultWork, false
+		return defaultWork
 	}
-	return total / n, true
+	return total / n
 }
 
 func (p *Picker) cost(need Need, e *fleet.Endpoint, meanWork time.Duration, now time.Time) Choice {
@@ -246,6 +241,19 @@
 	return lost
 }
 
+// Unreachable notes that the node of an endpoint could not be reached.
+func (p *Picker) Unreachable(e *fleet.Endpoint) {
+	e.Observed().Avoid(p.now().Add(avoidTime))
+	p.reach.failed(e.Record().GetDataCentre(), e.Record().GetNode())
+}
+
+// Answered notes an answer of the node of an endpoint.
+func (p *Picker) Answered(e *fleet.Endpoint) {
+	if p.isRemote(e) {
+		p.reach.answered(e.Record().GetDataCentre())
+	}
+}
+
 func wasTried(r *wire.Endpoint, tried []*fleet.Endpoint) bool {
 	return slices.ContainsFunc(tried, func(e *fleet.Endpoint) bool {
 		return e.Record().GetNode() == r.GetNode() && e.Record().GetInstance() == r.GetInstance()
@@ -258,7 +266,8 @@
 	now := p.now()
 	var reachable []*fleet.Endpoint
 	for _, e := range usable {
-		if !p.endpoints.Suspected(e) && !e.Observed().Avoided(now) {
+		cut := p.isRemote(e) && p.reach.isCut(e.Record().GetDataCentre())
+		if !cut && !p.endpoints.Suspected(e) && !e.Observed().Avoided(now) {
 			reachable = append(reachable, e)
 		}
 	}
--- a/pkg/routing/pick_test.go
+++ b/pkg/routing/pick_test.go
@@ -66,3 +66,7 @@
 		})
 	}
 }
+
+func newReport(workMS int) fleet.Report {
+	return fleet.Report{Work: time.Duration(workMS) * time.Millisecond}
+}
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -75,7 +75,6 @@
 	BackendRefused    Reason = "backend_server_refused_connection"
 	BackendShed       Reason = "backend_server_shed"
 	BackendReplaced   Reason = "backend_server_replaced"
-	BackendOverdue    Reason = "backend_server_overdue"
 	BackendCrashed    Reason = "backend_server_crashed"
 	AnswerLost        Reason = "answer_lost"
 	PeerUnreachable   Reason = "peer_unreachable"
@@ -114,7 +113,6 @@
 	BackendRefused:    {http.StatusServiceUnavailable, "try again; the backend server does not accept connections"},
 	BackendShed:       {http.StatusServiceUnavailable, "try again later; the backend server shed the request"},
 	BackendReplaced:   {http.StatusServiceUnavailable, "try again; another backend server has taken the address"},
-	BackendOverdue:    {http.StatusBadGateway, "look up whether the request took effect before you send it again"},
 	BackendCrashed:    {http.StatusBadGateway, "look up whether the request took effect before you send it again"},
 	AnswerLost:        {http.StatusBadGateway, "look up whether the request took effect before you send it again"},
 	PeerUnreachable:   {http.StatusServiceUnavailable, "try again; the node of the backend server cannot be reached"},
