--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -72,6 +73,11 @@
 	c.set.GetOrCreateHistogram(name).Update(c.now().Sub(since).Seconds())
 }
 
+// Jittered returns a duration between half and one and a half of d.
+func Jittered(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
 // Sleep waits for d, or until ctx ends; then it returns false.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/pkg/node/gossiper.go
+++ b/pkg/node/gossiper.go
@@ -56,7 +56,7 @@
 
 // run exchanges with peers: at once after a change, and each second anyway.
 func (g *gossiper) run(ctx context.Context) {
-	regular := time.NewTimer(jittered(exchangeInterval))
+	regular := time.NewTimer(common.Jittered(exchangeInterval))
 	defer regular.Stop()
 	for {
 		select {
@@ -76,14 +76,9 @@
 
 func (g *gossiper) nextInterval() time.Duration {
 	if g.records.HasRumours() {
-		return jittered(rumourInterval)
+		return common.Jittered(rumourInterval)
 	}
-	return jittered(exchangeInterval)
-}
-
-// jittered returns a duration between half and one and a half of d.
-func jittered(d time.Duration) time.Duration {
-	return d/2 + time.Duration(rand.Int64N(int64(d)))
+	return common.Jittered(exchangeInterval)
 }
 
 // round exchanges with random peers of this data centre, and on relays with a
--- a/pkg/node/joiner.go
+++ b/pkg/node/joiner.go
@@ -156,7 +156,7 @@
 	pauses := newJoinBackoff(lonelyPeriod)
 	for ctx.Err() == nil {
 		if j.joined.Load() && j.countAlivePeers() > 0 {
-			common.Sleep(ctx, jittered(lonelyPeriod))
+			common.Sleep(ctx, common.Jittered(lonelyPeriod))
 			continue
 		}
 		if j.registrar.read(ctx) && j.callAll(ctx) && !j.joined.Load() {
@@ -183,7 +183,7 @@
 // awaitChange waits until the lease has to be renewed, and writes the
 // registration again when it changes before.
 func (j *joiner) awaitChange(ctx context.Context) {
-	timer := time.NewTimer(jittered(registrationPeriod))
+	timer := time.NewTimer(common.Jittered(registrationPeriod))
 	defer timer.Stop()
 	for {
 		select {
--- a/pkg/node/probes.go
+++ b/pkg/node/probes.go
@@ -21,7 +21,7 @@
 func (n *Node) runProbes(ctx context.Context) {
 	var order []*wire.Member
 	for ctx.Err() == nil {
-		common.Sleep(ctx, jittered(probeInterval))
+		common.Sleep(ctx, common.Jittered(probeInterval))
 		if len(order) == 0 {
 			order = n.members.Peers()
 			rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
--- a/pkg/node/relay.go
+++ b/pkg/node/relay.go
@@ -22,7 +22,7 @@
 		if n.starter.isStarted() && n.members.IsRelay() {
 			n.watchHead(ctx)
 		}
-		common.Sleep(ctx, jittered(relayCheck))
+		common.Sleep(ctx, common.Jittered(relayCheck))
 	}
 }
 
--- a/pkg/node/rollouts.go
+++ b/pkg/node/rollouts.go
@@ -267,7 +267,7 @@
 // runReports does what needs the store, so that one that is slow or away
 // delays no decision.
 func (r *rollouts) runReports(ctx context.Context) {
-	for common.Sleep(ctx, jittered(paceInterval)) {
+	for common.Sleep(ctx, common.Jittered(paceInterval)) {
 		open := r.open()
 		r.steward.tick(ctx, len(open) > 0)
 		if !r.steward.isActive() {
--- a/pkg/node/steward.go
+++ b/pkg/node/steward.go
@@ -64,7 +64,7 @@
 	if idle || s.Now().Before(s.nextCall) {
 		return
 	}
-	s.nextCall = s.Now().Add(jittered(s.election.renewal))
+	s.nextCall = s.Now().Add(common.Jittered(s.election.renewal))
 	ctx, cancel := context.WithTimeout(ctx, platformPatience)
 	defer cancel()
 	switch {
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
@@ -94,7 +93,7 @@
 			return
 		}
 		f.lost(err)
-		common.Sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+		common.Sleep(ctx, common.Jittered(pause))
 		pause = min(2*pause, largestRetry)
 	}
 }
