Backend servers of a stopping node work on until shortly before its end

Ruled out: the store, failing backend servers (their lines stay rare in that time).

Change: other nodes are told half a second before the end of the notice.

Test: TestStopKeepsTheInstanceAtWork, which fails on the code before after 0.4 ms.

--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -19,6 +19,9 @@
 	// stopReserve is the part of the stop timeout that is left for the process
 	// to end by itself.
 	stopReserve = 150 * time.Millisecond
+	// drainNotice is the time in which other nodes hear that the backend servers
+	// of this host take no new work.
+	drainNotice = 500 * time.Millisecond
 )
 
 // Run serves until ctx ends, then stops gracefully: no request in flight is cut
@@ -109,16 +112,19 @@
 	}
 }
 
-// stop drains this node: others hear of it first, then callers' requests and
-// those of other nodes run to their end.
+// stop drains this node: callers hear of it first, then other nodes, then the
+// requests of both run to their end. Until other nodes are told, the backend
+// servers of this host go on working for them.
 func (n *Node) stop(callers *http.Server) {
 	n.Event(event.NodeStopping).Info("node stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout()-stopReserve)
 	defer cancel()
 	n.entry.BeginStop()
+	time.Sleep(n.settings.StopNotice() - drainNotice)
+	drained := n.Now()
 	n.owner.DrainAll()
 	n.gossiper.flush(ctx)
-	time.Sleep(n.settings.StopNotice())
+	time.Sleep(min(n.settings.StopNotice(), drainNotice) - n.Now().Sub(drained))
 	var wg sync.WaitGroup
 	for _, stop := range []func(context.Context) error{callers.Shutdown, n.owner.Stop} {
 		wg.Add(1)
