Read once more: stale connections by the field's name, one wait in the soak

Checked: make lint; all packages but integration; of integration TestSoak, TestHoldsGracefulStop and TestSilentConnections; the guard of TestKeptConnectionReset still bites.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -35,10 +35,10 @@
 	// For cautiousTime after a crossed answer, connections rest for restTime.
 	cautiousTime = 10 * time.Second
 	restTime     = 20 * time.Millisecond
-	// After a backend server forgot a connection, others rest at most for this
-	// part of the time that one had rested, for forgetfulTime.
-	forgottenPart = 0.5
-	forgetfulTime = 10 * time.Second
+	// After a stale connection, others rest at most for this part of the time
+	// that it had rested, for staleTime.
+	staleRestPart = 0.5
+	staleTime     = 10 * time.Second
 	// inlineBody is the size up to which a body is written before the answer is read.
 	inlineBody = 32 << 10
 )
@@ -46,10 +46,10 @@
 // ErrNotSent marks a request of which no byte reached the backend server.
 var ErrNotSent = errors.New("not sent")
 
-// ErrForgotten marks a request that went out on a kept connection which was
+// ErrStale marks a request that went out on a kept connection which was
 // reset without a byte of an answer. The backend server may have dropped the
 // idle connection; the request may have run all the same.
-var ErrForgotten = errors.New("the kept connection was reset")
+var ErrStale = errors.New("the kept connection was reset")
 
 // Request is one request to a backend server.
 type Request struct {
@@ -115,9 +115,9 @@
 		}
 		return c.exchange(ctx, cn, r)
 	}
-	if cn.wasForgotten(err) {
-		c.noteForgotten(rested)
-		err = errors.Join(ErrForgotten, err)
+	if cn.isStale(err) {
+		c.noteStale(rested)
+		err = errors.Join(ErrStale, err)
 	}
 	return nil, err
 }
@@ -190,17 +190,17 @@
 	c.crossedAt = c.now()
 }
 
-// noteForgotten lets connections rest for less after the backend server forgot
+// noteStale lets connections rest for less after the backend server forgot
 // one that had rested for the given time.
-func (c *Client) noteForgotten(rested time.Duration) {
+func (c *Client) noteStale(rested time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	limit := time.Duration(forgottenPart * float64(rested))
+	limit := time.Duration(staleRestPart * float64(rested))
 	if c.now().Before(c.restLimitEnds) {
 		limit = min(limit, c.restLimit)
 	}
 	c.restLimit = limit
-	c.restLimitEnds = c.now().Add(forgetfulTime)
+	c.restLimitEnds = c.now().Add(staleTime)
 }
 
 // currentRestLimit returns the longest rest after which a connection is used again.
--- a/pkg/backend/client_test.go
+++ b/pkg/backend/client_test.go
@@ -103,11 +103,11 @@
 // new connection, and only the first teaches the client to reuse sooner.
 func TestKeptConnectionReset(t *testing.T) {
 	tests := map[string]struct {
-		serve         func(s *standin, n int64, conn *net.TCPConn) bool
-		wantErrors    []error
-		wantForgotten bool
+		serve      func(s *standin, n int64, conn *net.TCPConn) bool
+		wantErrors []error
+		wantStale  bool
 	}{
-		"kept, before the answer": {serve: resetSecond(""), wantErrors: []error{nil, ErrForgotten}, wantForgotten: true},
+		"kept, before the answer": {serve: resetSecond(""), wantErrors: []error{nil, ErrStale}, wantStale: true},
 		"kept, within the answer": {serve: resetSecond("HTTP/1.1 200 OK\r\n"), wantErrors: []error{nil, errAny}},
 		"new": {
 			serve: func(_ *standin, _ int64, conn *net.TCPConn) bool {
@@ -127,8 +127,8 @@
 					t.Errorf("request %d: got %v, want %v", i, err, want)
 				}
 			}
-			if got := c.currentRestLimit() < maxIdle; got != test.wantForgotten {
-				t.Errorf("got a shorter rest %v, want %v", got, test.wantForgotten)
+			if got := c.currentRestLimit() < maxIdle; got != test.wantStale {
+				t.Errorf("got a shorter rest %v, want %v", got, test.wantStale)
 			}
 		})
 	}
@@ -137,22 +137,22 @@
 // isWanted reports whether an error of a request that was sent is the one wanted.
 func isWanted(err, want error) bool {
 	if want == errAny {
-		return err != nil && !errors.Is(err, ErrForgotten) && !errors.Is(err, ErrNotSent)
+		return err != nil && !errors.Is(err, ErrStale) && !errors.Is(err, ErrNotSent)
 	}
 	return errors.Is(err, want) && !errors.Is(err, ErrNotSent)
 }
 
 var errAny = errors.New("any")
 
-// TestForgetfulBackendServer: once a backend server forgot an idle connection,
+// TestStaleConnections: once a backend server forgot an idle connection,
 // requests that may run once do not go out on one that has rested as long.
-func TestForgetfulBackendServer(t *testing.T) {
+func TestStaleConnections(t *testing.T) {
 	const forgets = 200 * time.Millisecond
 	s := newStandin(t, func(_ *standin, _ int64, conn *net.TCPConn) bool { return answerWell(conn) })
 	now := time.Now()
 	c, cleanUp := NewClient(s.address, func() time.Time { return now })
 	defer cleanUp()
-	c.noteForgotten(forgets)
+	c.noteStale(forgets)
 	for range 20 {
 		if err := get(t, c, true); err != nil {
 			t.Error(err)
@@ -162,7 +162,7 @@
 	if got := s.opened.Load(); got != 20 {
 		t.Errorf("got %d connections, want one for each request", got)
 	}
-	now = now.Add(forgetfulTime)
+	now = now.Add(staleTime)
 	if got := c.currentRestLimit(); got != maxIdle {
 		t.Errorf("got a rest of at most %v after a while, want %v again", got, maxIdle)
 	}
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -62,9 +62,9 @@
 	}()
 }
 
-// wasForgotten reports whether an error on a kept connection is that of one
+// isStale reports whether an error on a kept connection is that of one
 // which the other end had dropped before.
-func (cn *conn) wasForgotten(err error) bool {
+func (cn *conn) isStale(err error) bool {
 	gone := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 	return gone && !cn.answered
 }
--- a/pkg/lab/soak/callers.go
+++ b/pkg/lab/soak/callers.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/deployment"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/load"
 )
@@ -66,7 +67,7 @@
 		default:
 			c.send(client, host, http.MethodGet, "/"+quoteService+"/1", "")
 		}
-		pause(ctx, callInterval)
+		common.Sleep(ctx, callInterval)
 	}
 }
 
--- a/pkg/lab/soak/releases.go
+++ b/pkg/lab/soak/releases.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/deployment"
 )
 
@@ -69,6 +70,6 @@
 			}
 			highest = max(highest, s.Enforced)
 		}
-		pause(ctx, watchInterval)
+		common.Sleep(ctx, watchInterval)
 	}
 }
--- a/pkg/lab/soak/soak.go
+++ b/pkg/lab/soak/soak.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/deployment"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/load"
 )
@@ -105,7 +106,7 @@
 		}()
 	}
 	s.run(ctx, entries)
-	pause(ctx, settleTime)
+	common.Sleep(ctx, settleTime)
 	cancel()
 	wg.Wait()
 }
--- a/pkg/lab/soak/strike.go
+++ b/pkg/lab/soak/strike.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/deployment"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/faultproxy"
 	"github.com/hibiscusrock/hibiscusrock/pkg/lab/standin"
@@ -67,15 +68,15 @@
 	switch e.Kind {
 	case NodeKill:
 		h.Node.Kill()
-		pause(ctx, e.For)
+		common.Sleep(ctx, e.For)
 		s.startNode(h)
 	case NodeStop:
 		h.Node.Stop(stopTimeout)
-		pause(ctx, restartPause)
+		common.Sleep(ctx, restartPause)
 		s.startNode(h)
 	case NodePause:
 		h.Node.Pause()
-		pause(ctx, e.For)
+		common.Sleep(ctx, e.For)
 		h.Node.Resume()
 	case BackendKill, BackendStop:
 		s.replaceBackend(ctx, h, e)
@@ -83,14 +84,14 @@
 		h.Proxy.Cut()
 	case LinkDelay, LinkSilence, LinkOneWay:
 		h.Proxy.Set(linkFaults(e.Kind))
-		pause(ctx, e.For)
+		common.Sleep(ctx, e.For)
 		h.Proxy.Set(faultproxy.Faults{})
 	case Partition:
 		s.partition(ctx, e)
 	case PlatformOneWay:
 		proxy := s.deployment.PlatformProxy(h.DataCentre)
 		proxy.Set(faultproxy.Faults{SilenceAnswers: true})
-		pause(ctx, e.For)
+		common.Sleep(ctx, e.For)
 		proxy.Set(faultproxy.Faults{})
 	case Release:
 		s.releases.start(ctx)
@@ -120,7 +121,7 @@
 	old := h.Backends[len(h.Backends)-1]
 	if e.Kind == BackendKill {
 		old.Process.Kill()
-		pause(ctx, e.For)
+		common.Sleep(ctx, e.For)
 	} else {
 		s.journal.leaving(old, time.Now())
 		old.Process.Signal(syscall.SIGTERM)
@@ -140,14 +141,14 @@
 		return
 	}
 	s.deployment.Partition(a, b, true)
-	pause(ctx, e.For)
+	common.Sleep(ctx, e.For)
 	s.deployment.Partition(a, b, false)
 }
 
 // strikePlatform changes the platform's faults, which may overlap.
 func (s *striker) strikePlatform(ctx context.Context, e Entry) {
 	s.setPlatform(func(f *standin.Faults) { applyPlatform(f, e.Kind, true) })
-	pause(ctx, e.For)
+	common.Sleep(ctx, e.For)
 	s.setPlatform(func(f *standin.Faults) { applyPlatform(f, e.Kind, false) })
 }
 
@@ -178,11 +179,3 @@
 		s.journal.violate("the stand-in platform does not answer: %v", err)
 	}
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/pkg/request/budget.go
+++ b/pkg/request/budget.go
@@ -55,8 +55,8 @@
 
 // NewSharedBudget returns this node's part of a budget that holds for the whole
 // fleet: it earns by requests alone and starts empty, since an earlier life of
-// the node may have spent what there was. The function burst returns the
-// retries that the fleet may make at once, nodes the number of nodes.
+// the node may have spent what there was. The fleet may make burst retries at
+// once; the function nodes returns the number of nodes.
 func NewSharedBudget(now func() time.Time, burst float64, nodes func() int) *Budget {
 	b := newBudget(now, func() float64 { return usableBurst * burst / float64(max(nodes(), 1)) }, 0)
 	b.shared = true
--- a/pkg/request/heartbeats_test.go
+++ b/pkg/request/heartbeats_test.go
@@ -87,9 +87,9 @@
 		records []*wire.Endpoint
 		want    map[string]bool
 	}{
-		"replaced":         {[]*wire.Endpoint{record("a", "127.0.0.1:1", 1), record("b", "127.0.0.1:1", 2)}, map[string]bool{"a": true, "b": false}},
-		"another address":  {[]*wire.Endpoint{record("a", "127.0.0.1:1", 1), record("b", "127.0.0.1:2", 2)}, map[string]bool{"a": false, "b": false}},
-		"the younger went": {[]*wire.Endpoint{record("a", "127.0.0.1:1", 2), record("b", "127.0.0.1:1", 1)}, map[string]bool{"a": false, "b": false}},
+		"replaced":           {[]*wire.Endpoint{record("a", "127.0.0.1:1", 1), record("b", "127.0.0.1:1", 2)}, map[string]bool{"a": true, "b": false}},
+		"another address":    {[]*wire.Endpoint{record("a", "127.0.0.1:1", 1), record("b", "127.0.0.1:2", 2)}, map[string]bool{"a": false, "b": false}},
+		"an older one later": {[]*wire.Endpoint{record("a", "127.0.0.1:1", 2), record("b", "127.0.0.1:1", 1)}, map[string]bool{"a": false, "b": false}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -238,7 +238,7 @@
 	case !r.owner.isDead(r.record.GetAddress()):
 		// A connection that was forgotten while idle is no failure of the
 		// backend server.
-		if !errors.Is(err, backend.ErrForgotten) {
+		if !errors.Is(err, backend.ErrStale) {
 			r.finish(true, took)
 		}
 		return r.unknown(verdict.AnswerLost)
