Read ahead on callers' connections and run idempotent requests at once

Cause: a connection was served one request after the other.

Change: pkg/listener takes the place of net/http's server for callers. pipeline decides what may run (no I/O), answers go out in the order of arrival, a closing answer is the last and only sent when nothing behind it was started, a request's time counts from its arrival. Bounds for requests and bytes ahead by connection and node. The node's other listeners stay on net/http.

Ruled out: a second parser in front of net/http, and Hijack (docs/design/callers.md).

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -48,6 +48,7 @@
 	RequestOutcomeUnknown  Name = "request_outcome_unknown"
 	RequestFailedByBackend Name = "request_failed_by_backend_server"
 	AnswerMismatched       Name = "answer_crossed"
+	HandlerPanicked        Name = "handler_panicked"
 )
 
 // Doc describes an event.
@@ -97,6 +98,7 @@
 		{RequestRefusedByOwner, "The node of the backend server refused a request before it ran.", run + ", retry_after_ms"},
 		{RequestOutcomeUnknown, "A request was sent to the backend server, but no complete answer was received.", run},
 		{RequestFailedByBackend, "The backend server answered with a status of 500 or above.", run + ", status"},
+		{HandlerPanicked, "The handling of a request panicked; the connection of its caller was closed.", "error, stack"},
 		{AnswerMismatched, "An answer that belongs to another request was dropped.", "request, instance"},
 	}
 }
--- /dev/null
+++ b/pkg/listener/conn.go
@@ -0,0 +1,401 @@
+package listener
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
+)
+
+const (
+	// lingerTimeout bounds the time for which input is read and dropped after the
+	// last answer. Closing with unread input would reset the connection, which can
+	// destroy an answer on its way.
+	lingerTimeout  = 500 * time.Millisecond
+	maxLingerBytes = 1 << 20
+)
+
+// past is a deadline that interrupts a read at once.
+var past = time.Unix(1, 0)
+
+// conn is the connection of one caller.
+type conn struct {
+	server *Server
+	raw    net.Conn
+	reader *requestReader
+	held   allowance
+	ctx    context.Context
+	cancel context.CancelFunc
+	// changed has an entry when an exchange ended or the connection began to close.
+	changed chan struct{}
+	// closing is closed when the connection begins to close.
+	closing chan struct{}
+	done    chan struct{}
+
+	mu       sync.Mutex
+	pipeline pipeline
+	// running counts the handlers that have not returned.
+	running int
+	// waiting is set while the reader waits for the first byte of a request.
+	waiting bool
+	// broken is set when nothing can be written any more.
+	broken bool
+	// lastSent is set when an answer with Connection: close was sent.
+	lastSent bool
+}
+
+func newConn(ctx context.Context, s *Server, raw net.Conn) *conn {
+	c := &conn{
+		server:  s,
+		raw:     raw,
+		reader:  newRequestReader(raw, s.limits),
+		changed: make(chan struct{}, 1),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
+	}
+	c.held.max = s.limits.AheadBytes
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	c.pipeline.isIdempotent = func(x *exchange) bool { return s.isIdempotent(x.request) }
+	return c
+}
+
+func (c *conn) limits() *Limits { return &c.server.limits }
+
+// serve reads the requests of the connection until it closes.
+func (c *conn) serve() {
+	defer close(c.done)
+	defer c.cancel()
+	for reading := true; reading; {
+		reading = c.awaitRoom() && c.readRequest()
+	}
+	c.awaitAnswers()
+	c.linger()
+	_ = c.raw.Close()
+	c.server.held.add(-c.held.used.Load())
+}
+
+// awaitRoom waits until another request may be read. It returns false when the
+// connection is closing.
+func (c *conn) awaitRoom() bool {
+	for {
+		c.mu.Lock()
+		closing := c.pipeline.closing
+		hasRoom := c.pipeline.first() == nil ||
+			c.pipeline.mayRead(c.limits().AheadRequests) && !c.held.isExhausted() && !c.server.held.isExhausted()
+		c.mu.Unlock()
+		if closing || hasRoom {
+			return !closing
+		}
+		<-c.changed
+	}
+}
+
+// readRequest reads the next request and starts what may run. It returns false if
+// it is the last one.
+func (c *conn) readRequest() bool {
+	before := c.reader.consumed()
+	req, err := c.nextRequest()
+	var invalid *requestError
+	switch {
+	case errors.As(err, &invalid):
+		c.server.Count(`hibiscusrock_requests_malformed_total`)
+		c.enqueue(refusedRequest(req), refusingHandler(invalid), 0)
+		c.closeWhenAnswered()
+		return false
+	case errors.Is(err, errConnectionStopping), errors.Is(err, errReadTimedOut):
+		c.closeWhenAnswered()
+		return false
+	case err != nil:
+		c.callerGone()
+		return false
+	}
+	x := c.enqueue(req, c.server.handler, c.reader.consumed()-before)
+	if x.body != nil {
+		select {
+		case <-x.body.ended:
+		case <-c.closing:
+			return false
+		}
+	}
+	return !req.Close
+}
+
+// nextRequest waits for the next request and reads its head. Behind others it also
+// reads a short body, so that the end of the connection is noticed.
+func (c *conn) nextRequest() (*http.Request, error) {
+	for {
+		if !c.beginWait() {
+			return nil, errConnectionStopping
+		}
+		err := c.reader.awaitByte()
+		mayGoOn := c.endWait()
+		if err == nil {
+			break
+		}
+		var netErr net.Error
+		if !errors.As(err, &netErr) || !netErr.Timeout() {
+			return nil, err
+		}
+		if !mayGoOn {
+			return nil, errConnectionStopping
+		}
+	}
+	if !c.reader.isHeadBuffered() {
+		_ = c.raw.SetReadDeadline(time.Now().Add(c.limits().HeaderTimeout))
+	}
+	req, err := c.reader.readHead()
+	if err == nil && c.isAnswering() {
+		err = c.reader.readBody(req)
+	}
+	return req, err
+}
+
+// isAnswering reports whether requests are not answered yet.
+func (c *conn) isAnswering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pipeline.first() != nil
+}
+
+// beginWait prepares waiting for a request. It returns false when the connection is
+// closing.
+func (c *conn) beginWait() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pipeline.closing {
+		return false
+	}
+	c.waiting = true
+	_ = c.raw.SetReadDeadline(time.Now().Add(c.limits().IdleTimeout))
+	return true
+}
+
+// endWait ends the wait for a request. It returns whether waiting may go on, which
+// it may not on an idle connection whose time is over.
+func (c *conn) endWait() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	return c.pipeline.first() != nil
+}
+
+// enqueue adds a request to the pipeline and starts what may run.
+func (c *conn) enqueue(req *http.Request, handler http.Handler, bytesRead int64) *exchange {
+	ctx, cancel := context.WithCancel(c.ctx)
+	x := &exchange{handler: handler, cancel: cancel, turn: make(chan struct{})}
+	req = req.WithContext(&arrivalContext{Context: ctx, arrival: c.server.Now()})
+	req.RemoteAddr = c.raw.RemoteAddr().String()
+	if _, isRead := req.Body.(*bufferedBody); !isRead && req.ContentLength != 0 {
+		x.body = newBody(c, req.Body, expectsContinue(req))
+		req.Body = x.body
+	}
+	x.request = req
+	x.answer = newAnswer(c, x)
+	c.mu.Lock()
+	if c.pipeline.first() == nil {
+		close(x.turn)
+	} else {
+		c.server.Count(`hibiscusrock_requests_read_ahead_total`)
+		x.bytesRead = bytesRead
+		c.held.add(bytesRead)
+		c.server.held.add(bytesRead)
+	}
+	c.pipeline.push(x)
+	started := c.startLocked()
+	c.mu.Unlock()
+	c.runAll(started)
+	return x
+}
+
+// startLocked starts the requests that may run; mu is held.
+func (c *conn) startLocked() []*exchange {
+	started := c.pipeline.start()
+	c.running += len(started)
+	return started
+}
+
+func (c *conn) runAll(started []*exchange) {
+	for _, x := range started {
+		go c.run(x)
+	}
+}
+
+// run runs the handler of a request, and sends its answer if it is the request's
+// turn. The end of all runs is awaited in awaitAnswers.
+func (c *conn) run(x *exchange) {
+	defer c.endRun()
+	defer x.cancel()
+	c.callHandler(x)
+	c.mu.Lock()
+	x.done = true
+	isFirst := c.pipeline.first() == x
+	c.mu.Unlock()
+	if !isFirst {
+		return
+	}
+	for x != nil {
+		x.answer.complete()
+		x = c.advance()
+	}
+}
+
+// callHandler calls the handler of a request. A panic ends this connection only.
+func (c *conn) callHandler(x *exchange) {
+	defer func() {
+		reason := recover()
+		if reason == nil {
+			return
+		}
+		x.answer.aborted = true
+		if reason != http.ErrAbortHandler {
+			c.server.Count(`hibiscusrock_handler_panics_total`)
+			c.server.Event(event.HandlerPanicked).WithField("error", reason).WithField("stack", string(debug.Stack())).Error("the handler of a request panicked")
+		}
+	}()
+	x.handler.ServeHTTP(x.answer, x.request)
+}
+
+// advance removes the first request, which was answered, and gives the turn to the
+// next one. It returns that if its handler has returned already.
+func (c *conn) advance() *exchange {
+	c.mu.Lock()
+	x := c.pipeline.first()
+	c.pipeline.pop()
+	x.answer.release()
+	c.held.add(-x.bytesRead)
+	c.server.held.add(-x.bytesRead)
+	if x.body != nil {
+		x.body.end()
+	}
+	next := c.pipeline.first()
+	if next != nil {
+		close(next.turn)
+	}
+	started := c.startLocked()
+	isDone := next != nil && next.done
+	c.mu.Unlock()
+	c.signal()
+	c.runAll(started)
+	if !isDone {
+		return nil
+	}
+	return next
+}
+
+func (c *conn) endRun() {
+	c.mu.Lock()
+	c.running--
+	c.mu.Unlock()
+	c.signal()
+}
+
+// signal wakes awaitRoom or awaitAnswers.
+func (c *conn) signal() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// isLastAnswer reports whether the answer to x is the last one of the connection.
+// closes is set when nothing can be read after x.
+func (c *conn) isLastAnswer(x *exchange, closes bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if closes || x.request.Close || c.server.isStopping() {
+		c.closeLocked()
+	}
+	c.lastSent = c.pipeline.chooseLast()
+	return c.lastSent
+}
+
+// closeWhenAnswered reads no more requests and closes the connection after the
+// answers to those that were started.
+func (c *conn) closeWhenAnswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeLocked()
+}
+
+func (c *conn) closeLocked() {
+	if c.pipeline.closing {
+		return
+	}
+	c.pipeline.closing = true
+	close(c.closing)
+	if c.waiting {
+		_ = c.raw.SetReadDeadline(past)
+	}
+	c.signal()
+}
+
+// callerGone ends all requests of a caller that closed the connection, or that
+// nothing can be sent to any more.
+func (c *conn) callerGone() {
+	c.mu.Lock()
+	c.broken = true
+	c.pipeline.ended = true
+	c.closeLocked()
+	c.mu.Unlock()
+	c.cancel()
+}
+
+// abort closes the connection within an answer. With reset, a caller that takes the
+// end of the connection for the end of the answer sees a reset instead.
+func (c *conn) abort(reset bool) {
+	if tcp, ok := c.raw.(*net.TCPConn); ok && reset {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.raw.Close()
+	c.callerGone()
+}
+
+// awaitAnswers waits until the handlers have returned and the answers are sent.
+func (c *conn) awaitAnswers() {
+	for {
+		c.mu.Lock()
+		running := c.running
+		c.mu.Unlock()
+		if running == 0 {
+			return
+		}
+		<-c.changed
+	}
+}
+
+// write sends bytes to the caller. Only the request that has its turn writes.
+func (c *conn) write(p []byte) error {
+	c.mu.Lock()
+	broken := c.broken
+	c.mu.Unlock()
+	if broken {
+		return net.ErrClosed
+	}
+	_ = c.raw.SetWriteDeadline(time.Now().Add(c.limits().WriteTimeout))
+	_, err := c.raw.Write(p)
+	if err != nil {
+		c.callerGone()
+	}
+	return err
+}
+
+// linger drops input after the last answer until the caller closes the connection
+// too. Input on a connection without a last answer stays unread, so that the caller
+// knows that it was not served.
+func (c *conn) linger() {
+	c.mu.Lock()
+	lingers := c.lastSent && !c.broken
+	c.mu.Unlock()
+	tcp, ok := c.raw.(*net.TCPConn)
+	if !lingers || !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, c.raw, maxLingerBytes)
+}
--- /dev/null
+++ b/pkg/listener/server.go
@@ -0,0 +1,175 @@
+// Package listener accepts the connections of callers and serves HTTP/1.1 on them.
+// Unlike the server of the standard library, it reads requests that a caller sends
+// before the earlier ones are answered, runs the idempotent ones at once, and
+// answers in the order of arrival.
+package listener
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+)
+
+const (
+	initialAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay     = time.Second
+)
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	*common.Common
+	handler      http.Handler
+	limits       Limits
+	isIdempotent func(*http.Request) bool
+	held         allowance
+	stopping     atomic.Bool
+
+	mu        sync.Mutex
+	listeners []net.Listener
+	conns     map[*conn]struct{}
+	closed    bool
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithLimits sets the limits of connections.
+func WithLimits(l Limits) Option { return func(s *Server) { s.limits = l } }
+
+// WithIdempotent sets the function that reports whether a request may run before
+// earlier requests of its connection are answered. Without it none may.
+func WithIdempotent(f func(*http.Request) bool) Option {
+	return func(s *Server) { s.isIdempotent = f }
+}
+
+// New returns a Server that passes requests to handler, and a function that closes
+// its listeners and connections.
+func New(cm *common.Common, handler http.Handler, opts ...Option) (*Server, func()) {
+	s := &Server{
+		Common:       cm,
+		handler:      handler,
+		limits:       DefaultLimits(),
+		isIdempotent: func(*http.Request) bool { return false },
+		conns:        make(map[*conn]struct{}),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.held.max = s.limits.NodeAheadBytes
+	return s, s.close
+}
+
+// Serve accepts connections until the listener is closed. The channel then yields
+// nil, or the error for which accepting ended. The end of ctx ends all requests.
+func (s *Server) Serve(ctx context.Context, l net.Listener) <-chan error {
+	done := make(chan error, 1)
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
+	go func() { done <- s.accept(ctx, l) }()
+	return done
+}
+
+func (s *Server) accept(ctx context.Context, l net.Listener) error {
+	delay := initialAcceptDelay
+	for {
+		raw, err := l.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil && isTemporary(err):
+			// The node is out of descriptors, or the caller was gone already.
+			if !common.Sleep(ctx, delay) {
+				return ctx.Err()
+			}
+			delay = min(2*delay, maxAcceptDelay)
+		case err != nil:
+			return err
+		default:
+			delay = initialAcceptDelay
+			s.serveConn(ctx, raw)
+		}
+	}
+}
+
+func isTemporary(err error) bool {
+	var temporary interface{ Temporary() bool }
+	return errors.As(err, &temporary) && temporary.Temporary()
+}
+
+// serveConn serves a connection; its end is awaited in Shutdown.
+func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
+	c := newConn(ctx, s, raw)
+	s.mu.Lock()
+	closed := s.closed
+	if !closed {
+		s.conns[c] = struct{}{}
+	}
+	s.mu.Unlock()
+	if closed {
+		_ = raw.Close()
+		return
+	}
+	go func() {
+		defer s.forget(c)
+		c.serve()
+	}()
+}
+
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *Server) isStopping() bool { return s.stopping.Load() }
+
+// BeginStop closes each connection after its next answer (Connection: close), so
+// that callers send no more requests to this node.
+func (s *Server) BeginStop() { s.stopping.Store(true) }
+
+// Shutdown closes the listeners and the idle connections, and waits until the
+// requests that were read are answered. It returns the error of ctx if that ends
+// first.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.BeginStop()
+	conns := s.stopAccepting()
+	for _, c := range conns {
+		c.closeWhenAnswered()
+	}
+	for _, c := range conns {
+		select {
+		case <-c.done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// stopAccepting closes the listeners and returns the open connections.
+func (s *Server) stopAccepting() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+func (s *Server) close() {
+	for _, c := range s.stopAccepting() {
+		c.abort(false)
+	}
+}
--- /dev/null
+++ b/pkg/listener/server_test.go
@@ -0,0 +1,510 @@
+package listener
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+)
+
+const testTimeout = 5 * time.Second
+
+// isGet is the test's rule for idempotent requests.
+func isGet(r *http.Request) bool { return r.Method == http.MethodGet }
+
+// startServer serves handler on a loopback address.
+func startServer(t testing.TB, handler http.HandlerFunc, limits Limits) (*Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, cleanUp := New(common.New(), handler, WithIdempotent(isGet), WithLimits(limits))
+	done := s.Serve(context.Background(), l)
+	t.Cleanup(func() {
+		cleanUp()
+		if err := <-done; err != nil {
+			t.Errorf("the server ended with %v", err)
+		}
+	})
+	return s, l.Addr().String()
+}
+
+// caller is one connection to a server.
+type caller struct {
+	t      testing.TB
+	raw    net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t testing.TB, address string) *caller {
+	t.Helper()
+	raw, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = raw.Close() })
+	_ = raw.SetDeadline(time.Now().Add(testTimeout))
+	return &caller{t: t, raw: raw, reader: bufio.NewReader(raw)}
+}
+
+func (c *caller) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.raw, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// answer reads the next answer to a request with the given method.
+func (c *caller) answer(method string) (*http.Response, string, error) {
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func (c *caller) wantAnswer(status int, text string) *http.Response {
+	c.t.Helper()
+	resp, body, err := c.answer(http.MethodGet)
+	if err != nil {
+		c.t.Fatalf("got error %v, want status %d", err, status)
+	}
+	if resp.StatusCode != status || text != "" && body != text {
+		c.t.Fatalf("got %d %q, want %d %q", resp.StatusCode, body, status, text)
+	}
+	return resp
+}
+
+func (c *caller) wantEnd() {
+	c.t.Helper()
+	if b, err := c.reader.ReadByte(); err == nil {
+		c.t.Errorf("got byte %q after the last answer, want the end of the connection", b)
+	}
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+func post(path string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+}
+
+// TestRequestsSentAhead guards against requests that wait for earlier ones although
+// they are idempotent, and against answers in another order than the requests.
+func TestRequestsSentAhead(t *testing.T) {
+	const n = 8
+	var reached sync.WaitGroup
+	reached.Add(n)
+	_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		reached.Done()
+		reached.Wait()
+		var i int
+		_, _ = fmt.Sscanf(r.URL.Path, "/%d", &i)
+		time.Sleep(time.Duration(n-i) * 5 * time.Millisecond)
+		_, _ = io.WriteString(w, r.URL.Path)
+	}, DefaultLimits())
+	c := dial(t, address)
+	for i := range n {
+		c.send(get(fmt.Sprintf("/%d", i)))
+	}
+	for i := range n {
+		c.wantAnswer(http.StatusOK, fmt.Sprintf("/%d", i))
+	}
+}
+
+// TestNonIdempotentKeepsItsTurn guards against a request that is not idempotent and
+// overlaps another one of its connection.
+func TestNonIdempotentKeepsItsTurn(t *testing.T) {
+	var running, overlaps atomic.Int64
+	_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if n := running.Add(1); n > 1 && r.Method == http.MethodPost {
+			overlaps.Add(1)
+		}
+		body, _ := io.ReadAll(r.Body)
+		time.Sleep(10 * time.Millisecond)
+		running.Add(-1)
+		_, _ = w.Write(append([]byte(r.URL.Path), body...))
+	}, DefaultLimits())
+	c := dial(t, address)
+	c.send(get("/a") + post("/b") + get("/c") + get("/d") + post("/e"))
+	for _, want := range []string{"/a", "/bhi", "/c", "/d", "/ehi"} {
+		c.wantAnswer(http.StatusOK, want)
+	}
+	if got := overlaps.Load(); got != 0 {
+		t.Errorf("%d requests that are not idempotent overlapped others", got)
+	}
+}
+
+// TestReadAheadIsBounded guards against memory that grows with what a caller sends
+// while its first answer is slow: the requests that are read, the bytes of their
+// heads, and the finished answers that wait.
+func TestReadAheadIsBounded(t *testing.T) {
+	const many = 400
+	filler := "X-Filler: " + strings.Repeat("x", 1000) + "\r\n"
+	tests := map[string]struct {
+		change      func(*Limits)
+		answerBytes int
+		maxStarted  int64
+		maxHeld     int64
+	}{
+		"requests":                  {change: func(l *Limits) { l.AheadRequests = 5 }, maxStarted: 6, maxHeld: 5 * 2000},
+		"bytes of a connection":     {change: func(l *Limits) { l.AheadBytes = 4000 }, maxStarted: 6, maxHeld: 4000 + 2000},
+		"bytes of the node":         {change: func(l *Limits) { l.NodeAheadBytes = 4000 }, maxStarted: 6, maxHeld: 4000 + 2000},
+		"answers of a connection":   {change: func(l *Limits) { l.AheadBytes = 50_000 }, answerBytes: 20_000, maxStarted: 33, maxHeld: 52_000},
+		"answers of the whole node": {change: func(l *Limits) { l.NodeAheadBytes = 50_000 }, answerBytes: 20_000, maxStarted: 33, maxHeld: 52_000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			limits := DefaultLimits()
+			test.change(&limits)
+			h := &slowFirst{answer: strings.Repeat("y", test.answerBytes), release: make(chan struct{})}
+			s, address := startServer(t, h.serve, limits)
+			c := dial(t, address)
+			sent := make(chan error, 1)
+			go func() {
+				_, err := io.WriteString(c.raw, get("/first")+strings.Repeat("GET /next HTTP/1.1\r\nHost: h\r\n"+filler+"\r\n", many))
+				sent <- err
+			}()
+			time.Sleep(200 * time.Millisecond)
+			if started, held := h.started.Load(), s.held.used.Load(); started > test.maxStarted || held > test.maxHeld {
+				t.Errorf("%d requests started and %d bytes held, want at most %d and %d", started, held, test.maxStarted, test.maxHeld)
+			}
+			close(h.release)
+			c.wantAnswers(many+1, h.answer)
+			if err := <-sent; err != nil {
+				t.Error(err)
+			}
+			_ = c.raw.Close()
+			waitFor(t, "no bytes held", func() bool { return s.held.used.Load() == 0 })
+		})
+	}
+}
+
+func (c *caller) wantAnswers(n int, text string) {
+	c.t.Helper()
+	for range n {
+		c.wantAnswer(http.StatusOK, text)
+	}
+}
+
+// slowFirst answers all requests at once but /first, which waits for release.
+type slowFirst struct {
+	answer  string
+	started atomic.Int64
+	release chan struct{}
+}
+
+func (h *slowFirst) serve(w http.ResponseWriter, r *http.Request) {
+	h.started.Add(1)
+	if r.URL.Path == "/first" {
+		<-h.release
+	}
+	_, _ = io.WriteString(w, h.answer)
+}
+
+func waitFor(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out waiting: %s", what)
+		}
+	}
+}
+
+// TestCallerGoneEndsItsRequests guards against work that goes on for a caller that
+// has closed its connection, and against requests that start after that.
+func TestCallerGoneEndsItsRequests(t *testing.T) {
+	var started, ended atomic.Int64
+	s, address := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		started.Add(1)
+		<-r.Context().Done()
+		ended.Add(1)
+	}, DefaultLimits())
+	c := dial(t, address)
+	c.send(get("/a") + get("/b") + get("/c") + post("/d"))
+	waitFor(t, "three requests start", func() bool { return started.Load() == 3 })
+	_ = c.raw.Close()
+	waitFor(t, "all requests end", func() bool { return ended.Load() == 3 })
+	waitFor(t, "the connection is forgotten", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.conns) == 0
+	})
+	if got := started.Load(); got != 3 {
+		t.Errorf("%d requests started, want 3", got)
+	}
+	if got := s.held.used.Load(); got != 0 {
+		t.Errorf("%d bytes held after the end, want 0", got)
+	}
+}
+
+// TestMalformedRequests guards against what a server must not accept, also behind
+// good requests, whose answers come first and whole.
+func TestMalformedRequests(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		want int
+	}{
+		"no HTTP":                   {"hello\r\n\r\n", 400},
+		"no host":                   {"GET / HTTP/1.1\r\n\r\n", 400},
+		"two hosts":                 {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400},
+		"host with a space":         {"GET / HTTP/1.1\r\nHost: a b\r\n\r\n", 400},
+		"name with a space":         {"GET / HTTP/1.1\r\nHost: a\r\nX : y\r\n\r\n", 400},
+		"control character":         {"GET / HTTP/1.1\r\nHost: a\r\nX: a\rb\r\n\r\n", 400},
+		"two lengths":               {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+		"negative length":           {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", 400},
+		"unknown transfer encoding": {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", 400},
+		"other version":             {"GET / HTTP/2.0\r\nHost: a\r\n\r\n", 505},
+		"unknown expectation":       {"GET / HTTP/1.1\r\nHost: a\r\nExpect: more\r\n\r\n", 417},
+		"head without end":          {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 70<<10), 431},
+	}
+	for name, test := range tests {
+		for _, good := range []int{0, 3} {
+			t.Run(fmt.Sprintf("%s behind %d", name, good), func(t *testing.T) { refusesBehind(t, test.text, good, test.want) })
+		}
+	}
+}
+
+func refusesBehind(t *testing.T, text string, good, want int) {
+	_, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(10 * time.Millisecond)
+		_, _ = io.WriteString(w, "good")
+	}, DefaultLimits())
+	c := dial(t, address)
+	c.send(strings.Repeat(get("/"), good) + text)
+	c.wantAnswers(good, "good")
+	if resp := c.wantAnswer(want, ""); !resp.Close {
+		t.Error("the answer does not close the connection")
+	}
+	c.wantEnd()
+}
+
+// TestBrokenAnswerLooksBroken guards against an answer that breaks off and looks
+// complete, and against a process that ends with a panic of one handler.
+func TestBrokenAnswerLooksBroken(t *testing.T) {
+	flush := func(w http.ResponseWriter) { _ = http.NewResponseController(w).Flush() }
+	tests := map[string]struct {
+		proto   string
+		handler http.HandlerFunc
+	}{
+		"before the head": {"HTTP/1.1", func(http.ResponseWriter, *http.Request) { panic("unexpected") }},
+		"chunked": {"HTTP/1.1", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "part")
+			flush(w)
+			panic(http.ErrAbortHandler)
+		}},
+		"with a length": {"HTTP/1.1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "8")
+			_, _ = io.WriteString(w, "part")
+			flush(w)
+			panic(http.ErrAbortHandler)
+		}},
+		"shorter than its length": {"HTTP/1.1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "8")
+			_, _ = io.WriteString(w, "part")
+		}},
+		"ended by the connection": {"HTTP/1.0", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "part")
+			flush(w)
+			panic(http.ErrAbortHandler)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			looksBroken(t, test.proto, test.handler)
+		})
+	}
+}
+
+// looksBroken sends a request to handler behind a good one, unless HTTP/1.0 is used,
+// and expects no whole answer.
+func looksBroken(t *testing.T, proto string, handler http.HandlerFunc) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/good", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "good") })
+	mux.HandleFunc("/broken", handler)
+	_, address := startServer(t, mux.ServeHTTP, DefaultLimits())
+	c := dial(t, address)
+	if proto == "HTTP/1.1" {
+		c.send(get("/good"))
+	}
+	c.send("GET /broken " + proto + "\r\nHost: h\r\n\r\n" + get("/good"))
+	if proto == "HTTP/1.1" {
+		c.wantAnswer(http.StatusOK, "good")
+	}
+	if resp, text, err := c.answer(http.MethodGet); err == nil {
+		t.Errorf("got a complete answer %d %q, want an error", resp.StatusCode, text)
+	}
+	other := dial(t, address)
+	other.send(get("/good"))
+	other.wantAnswer(http.StatusOK, "good")
+}
+
+// TestPlannedStopUnderLoad guards against requests that are cut off by a planned
+// stop: callers send ahead without pause while the server stops. Each request that
+// reached the handler is answered whole, in order, with its own mark; what was sent
+// behind the closing answer never ran unless it is idempotent and was answered.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	const callers = 24
+	var mu sync.Mutex
+	ran := map[string]int{}
+	s, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		ran[r.URL.Path]++
+		mu.Unlock()
+		body, _ := io.ReadAll(r.Body)
+		time.Sleep(time.Duration(len(r.URL.Path)%7) * time.Millisecond)
+		_, _ = fmt.Fprintf(w, "%s %s", r.URL.Path, body)
+	}, DefaultLimits())
+	var answered sync.Map
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := sendAhead(t, address, i, &answered); err != nil {
+				t.Errorf("caller %d: %v", i, err)
+			}
+		}()
+	}
+	time.Sleep(150 * time.Millisecond)
+	s.BeginStop()
+	time.Sleep(20 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Errorf("the stop ended with %v", err)
+	}
+	wg.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	total := 0
+	for path, n := range ran {
+		if _, ok := answered.Load(path); !ok || n != 1 {
+			t.Errorf("%s ran %d times, answered: %v", path, n, ok)
+		}
+		total += n
+	}
+	if total < 10*callers {
+		t.Errorf("only %d requests ran", total)
+	}
+}
+
+// sendAhead sends requests in bursts on one connection until the server closes it,
+// and checks each answer.
+func sendAhead(t *testing.T, address string, i int, answered *sync.Map) error {
+	c := dial(t, address)
+	for n := 0; ; n++ {
+		paths := make([]string, 5)
+		for k := range paths {
+			paths[k] = fmt.Sprintf("/%d/%d/%d", i, n, k)
+		}
+		_, _ = io.WriteString(c.raw, get(paths[0])+get(paths[1])+post(paths[2])+get(paths[3])+get(paths[4]))
+		for k, path := range paths {
+			closes, err := c.ownAnswer(path, answered)
+			if err != nil && k == 0 {
+				return nil // The connection was idle when it was closed.
+			}
+			if err != nil || closes {
+				return err
+			}
+		}
+	}
+}
+
+// ownAnswer reads the answer to the request for path, and the end of the connection
+// behind an answer that closes it.
+func (c *caller) ownAnswer(path string, answered *sync.Map) (closes bool, err error) {
+	resp, body, err := c.answer(http.MethodGet)
+	if err != nil {
+		return false, fmt.Errorf("%s: %w", path, err)
+	}
+	if want := path + " "; strings.TrimSuffix(body, "hi") != want {
+		return false, fmt.Errorf("got answer %q, want %q", body, want)
+	}
+	answered.Store(path, true)
+	if resp.Close {
+		c.wantEnd()
+	}
+	return resp.Close, nil
+}
+
+// TestRequestOfAnIdleConnectionAtTheStop guards against a request that was read
+// just before the stop and is dropped.
+func TestRequestOfAnIdleConnectionAtTheStop(t *testing.T) {
+	for range 50 {
+		var reached atomic.Int64
+		s, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+			reached.Add(1)
+			_, _ = io.WriteString(w, "ok")
+		}, DefaultLimits())
+		c := dial(t, address)
+		c.send(get("/"))
+		c.wantAnswer(http.StatusOK, "ok")
+		ended := make(chan error, 1)
+		go func() { ended <- s.Shutdown(context.Background()) }()
+		_, _ = io.WriteString(c.raw, get("/"))
+		resp, text, err := c.answer(http.MethodGet)
+		_ = c.raw.Close()
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
+		if answered := err == nil && text == "ok"; reached.Load() == 2 != answered {
+			t.Fatalf("reached the handler %d times, but got %v %q %v", reached.Load(), resp, text, err)
+		}
+	}
+}
+
+// TestIdleAndSlowCallers guards against connections that stay open for callers
+// that send nothing, or a head without an end.
+func TestIdleAndSlowCallers(t *testing.T) {
+	limits := DefaultLimits()
+	limits.IdleTimeout, limits.HeaderTimeout, limits.BodyTimeout = 50*time.Millisecond, 50*time.Millisecond, 50*time.Millisecond
+	tests := map[string]string{
+		"nothing":       "",
+		"part of head":  "GET / HTTP/1.1\r\nHo",
+		"part of body":  "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\npart",
+		"after a whole": get("/"),
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); err != nil {
+					w.WriteHeader(http.StatusBadRequest)
+				}
+			}, limits)
+			c := dial(t, address)
+			c.send(text)
+			started := time.Now()
+			_, err := io.Copy(io.Discard, c.reader)
+			if took := time.Since(started); err != nil && !errors.Is(err, io.EOF) || took > 3*time.Second {
+				t.Errorf("the connection ended after %v with %v", took, err)
+			}
+		})
+	}
+}
+
+// TestExpectContinue guards against a caller that waits for 100 Continue for ever.
+func TestExpectContinue(t *testing.T) {
+	_, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	}, DefaultLimits())
+	c := dial(t, address)
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	if line, err := c.reader.ReadString('\n'); err != nil || line != "HTTP/1.1 100 Continue\r\n" {
+		t.Fatalf("got %q, %v, want 100 Continue", line, err)
+	}
+	_, _ = c.reader.ReadString('\n')
+	c.send("hi")
+	c.wantAnswer(http.StatusOK, "hi")
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/fleet"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/keys"
+	"github.com/hibiscusrock/hibiscusrock/pkg/listener"
 	"github.com/hibiscusrock/hibiscusrock/pkg/peer"
 	"github.com/hibiscusrock/hibiscusrock/pkg/quarantine"
 	"github.com/hibiscusrock/hibiscusrock/pkg/request"
@@ -162,7 +163,7 @@
 		Standby:  n.standby,
 		Address:  n.address,
 		CallPeer: n.calls.Call,
-	})
+	}, request.WithArrival(listener.Arrival))
 }
 
 func (n *Node) newPicker() *routing.Picker {
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -10,12 +10,11 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
+	"github.com/hibiscusrock/hibiscusrock/pkg/listener"
 )
 
 const (
-	headerTimeout     = 5 * time.Second
-	idleCallerTimeout = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	hostHeaderTimeout = 5 * time.Second
 	// stopReserve is the part of the stop timeout that is left for the process
 	// to exit by itself.
 	stopReserve = 150 * time.Millisecond
@@ -30,8 +29,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
-	callers := &http.Server{Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleCallerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	host := &http.Server{Handler: n.hostHandler(), ReadHeaderTimeout: headerTimeout}
+	callers, closeCallers := listener.New(n.Common, n.entry, listener.WithIdempotent(n.entry.IsIdempotent))
+	defer closeCallers()
+	host := &http.Server{Handler: n.hostHandler(), ReadHeaderTimeout: hostHeaderTimeout}
 	ended, err := n.serveAll(background, callers, host)
 	if err != nil {
 		return err
@@ -52,45 +52,42 @@
 }
 
 // serveAll listens on every address in the settings and starts the servers.
-func (n *Node) serveAll(ctx context.Context, callers, host *http.Server) ([]<-chan error, error) {
+func (n *Node) serveAll(ctx context.Context, callers *listener.Server, host *http.Server) ([]<-chan error, error) {
 	peers, err := listen(n.settings.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
 	ended := []<-chan error{n.server.Serve(ctx, peers)}
-	for _, served := range []struct {
-		address string
-		server  *http.Server
-	}{
-		{n.settings.CallerAddress, callers},
-		{n.settings.HostAddress, host},
-		{n.settings.ReadyAddress, host},
-		{n.settings.MetricsAddress, host},
-	} {
-		if served.address == "" {
+	fromCallers, err := listen(n.settings.CallerAddress)
+	if err != nil {
+		return nil, err
+	}
+	ended = append(ended, callers.Serve(ctx, fromCallers))
+	for _, address := range []string{n.settings.HostAddress, n.settings.ReadyAddress, n.settings.MetricsAddress} {
+		if address == "" {
 			continue
 		}
-		listener, err := listen(served.address)
+		l, err := listen(address)
 		if err != nil {
 			return nil, err
 		}
-		ended = append(ended, serveHTTP(served.server, listener))
+		ended = append(ended, serveHTTP(host, l))
 	}
 	return ended, nil
 }
 
 func listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.KindUnavailable, "cannot listen on "+address, "free the port or change the address in the settings")
 	}
-	return listener, nil
+	return l, nil
 }
 
-func serveHTTP(server *http.Server, listener net.Listener) <-chan error {
+func serveHTTP(server *http.Server, l net.Listener) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		err := server.Serve(listener)
+		err := server.Serve(l)
 		if errors.Is(err, http.ErrServerClosed) {
 			err = nil
 		}
@@ -116,11 +113,11 @@
 // stop drains this node. It notifies callers, then the other nodes, and then waits
 // until the requests of callers and of other nodes have ended. Until the other
 // nodes are notified, the backend servers of this host go on working for them.
-func (n *Node) stop(callers *http.Server) {
+func (n *Node) stop(callers *listener.Server) {
 	n.Event(event.NodeStopping).Info("node stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout()-stopReserve)
 	defer cancel()
-	n.entry.BeginStop()
+	callers.BeginStop()
 	time.Sleep(n.settings.StopNotice() - drainNotice)
 	drained := n.Now()
 	n.owner.DrainAll()
--- a/pkg/node/store_adapter.go
+++ b/pkg/node/store_adapter.go
@@ -7,6 +7,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/distribution"
 	"github.com/hibiscusrock/hibiscusrock/pkg/event"
+	"github.com/hibiscusrock/hibiscusrock/pkg/listener"
 	"github.com/hibiscusrock/hibiscusrock/pkg/request"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
 	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
@@ -83,6 +84,7 @@
 		Address:  n.address,
 		CallPeer: n.calls.Call,
 	},
+		request.WithArrival(listener.Arrival),
 		request.WithHeaders(n.adapter.Headers),
 		request.WithCaller(n.settings.CallerService),
 		request.WithBudget(request.NewSharedBudget(n.Now, n.settings.Retries.Burst, n.members.Len)))
--- a/pkg/request/call.go
+++ b/pkg/request/call.go
@@ -56,9 +56,6 @@
 }
 
 func (e *Entry) newCall(w http.ResponseWriter, r *http.Request) (*call, *verdict.Refusal) {
-	if e.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	table := e.hooks.Table()
 	if table == nil {
 		return nil, verdict.Refuse(verdict.NotRun, verdict.NoBundle)
@@ -76,7 +73,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	c := &call{w: w, ctx: r.Context(), table: table, route: route, service: service, start: e.Now()}
+	c := &call{w: w, ctx: r.Context(), table: table, route: route, service: service, start: e.startOf(r)}
 	timeout, waited := e.callTimeout(r, route)
 	c.deadline = c.start.Add(timeout)
 	c.objective = c.start.Add(route.Objective() - waited)
@@ -88,6 +85,14 @@
 	return c, nil
 }
 
+// startOf returns the time from which the timeouts of a request count.
+func (e *Entry) startOf(r *http.Request) time.Time {
+	if arrival, ok := e.arrival(r.Context()); ok {
+		return arrival
+	}
+	return e.Now()
+}
+
 func (e *Entry) chooseService(route *bundle.Route) string {
 	if len(route.Split) == 0 {
 		return route.Service
--- a/pkg/request/entry.go
+++ b/pkg/request/entry.go
@@ -73,9 +73,9 @@
 	callerTimeouts *callerTimeouts
 	answerSizes    *answerSizes
 	hooks          EntryHooks
+	arrival        func(context.Context) (time.Time, bool)
 
-	stopping atomic.Bool
-	served   atomic.Uint64
+	served atomic.Uint64
 }
 
 // EntryOption configures an Entry.
@@ -90,6 +90,13 @@
 // WithBudget sets the budget for retries.
 func WithBudget(b *Budget) EntryOption { return func(e *Entry) { e.budget = b } }
 
+// WithArrival sets the function that returns when the request with a context was
+// read. Its deadline and objective count from then, also if it had to wait for
+// earlier requests of its connection.
+func WithArrival(f func(context.Context) (time.Time, bool)) EntryOption {
+	return func(e *Entry) { e.arrival = f }
+}
+
 // NewEntry returns an Entry. Requests for backend servers of this node's host go
 // to owner directly.
 func NewEntry(cm *common.Common, node string, owner *Owner, crashTracker *quarantine.CrashTracker, picker *routing.Picker, hooks EntryHooks, opts ...EntryOption) *Entry {
@@ -105,6 +112,7 @@
 		callerTimeouts: newCallerTimeouts(),
 		answerSizes:    newAnswerSizes(),
 		hooks:          hooks,
+		arrival:        func(context.Context) (time.Time, bool) { return time.Time{}, false },
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -406,6 +414,9 @@
 	return nil
 }
 
-// BeginStop closes each connection after its next answer (Connection: close), so
-// that callers send no more requests to this node.
-func (e *Entry) BeginStop() { e.stopping.Store(true) }
+// IsIdempotent reports whether a request may run more than once by the table in
+// force. A request without a route runs nowhere.
+func (e *Entry) IsIdempotent(r *http.Request) bool {
+	route := e.hooks.Table().Match(r.Host, r.Method, r.URL.Path)
+	return route == nil || route.IsIdempotent(r.Method)
+}
