Bound what a backend server in trouble may send: heads and bodies without an end

Cause: a head was read without a bound (status line, header, informational answers), and a body without a length was collected whole before it was sent on.

Change: common.BoundedReader (the listener uses it too) ends a head at 64 KiB; bodies without a length are streamed beyond 256 KiB, one chunk in memory, until they end or the request's context does. An answer streamed under a claim is recorded as too long to keep, as before. A stream's success or failure counts for its backend server when it ends, no longer when it starts.

Ruled out: a cap on the length of answers without a declared one, which would break long sound ones.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -5,7 +5,6 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -36,6 +35,9 @@
 	// number of slots of usual backend servers.
 	maxIdleConns   = 32
 	readBufferSize = 4 << 10
+	// maxHeadBytes bounds the head of an answer. A backend server in trouble may send
+	// a head without an end.
+	maxHeadBytes = 64 << 10
 	// For mismatchPeriod after an answer that belongs to another request, a
 	// connection is reused only after it was idle for minIdleAfterMismatch.
 	mismatchPeriod       = 10 * time.Second
@@ -240,7 +242,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: maxIdleTime}, nil
+	return newConn(raw), nil
 }
 
 // putIdle adds a connection to the idle ones, or closes it when the client is
--- a/pkg/backend/client_test.go
+++ b/pkg/backend/client_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -192,3 +193,41 @@
 		t.Errorf("the backend server received %d requests, want 2", got)
 	}
 }
+
+// TestAnswerWithoutEnd guards against memory that grows with the bytes of a backend
+// server in trouble: a head, or informational answers, without an end. The request
+// has to fail long before its deadline, after a bounded number of bytes.
+func TestAnswerWithoutEnd(t *testing.T) {
+	tests := map[string]struct{ first, repeated string }{
+		"status line":          {"HTTP/1.1 200 ", "a"},
+		"header names":         {"HTTP/1.1 200 OK\r\n", "X-Filler: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n"},
+		"one header":           {"HTTP/1.1 200 OK\r\nX: ", "a"},
+		"informational heads":  {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"bytes without a line": {"", "\x00\xff"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			s := newFakeServer(t, func(_ *fakeServer, _ int64, conn *net.TCPConn) bool {
+				_, err := conn.Write([]byte(test.first))
+				part := []byte(strings.Repeat(test.repeated, 4096/len(test.repeated)))
+				for err == nil {
+					var n int
+					n, err = conn.Write(part)
+					sent.Add(int64(n))
+				}
+				return false
+			})
+			c, cleanUp := NewClient(s.address, time.Now)
+			defer cleanUp()
+			started := time.Now()
+			if err := get(t, c, false); err == nil || errors.Is(err, ErrNotSent) {
+				t.Errorf("got error %v, want one of a request that was sent", err)
+			}
+			const maxSent = 16 << 20 // what the sockets' buffers may take
+			if took := time.Since(started); took > 2*time.Second || sent.Load() > maxSent {
+				t.Errorf("failed after %v and %d bytes, want an end at the bound of the head", took, sent.Load())
+			}
+		})
+	}
+}
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -10,11 +10,15 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 )
 
 // conn is one connection to a backend server. It carries one request at a time.
 type conn struct {
-	raw      net.Conn
+	raw net.Conn
+	// source counts and bounds what reader reads from raw.
+	source   *common.BoundedReader
 	reader   *bufio.Reader
 	lastUsed time.Time
 	// idleTime is how long the connection was idle before the current request; 0
@@ -31,6 +35,11 @@
 	writeFailed bool
 }
 
+func newConn(raw net.Conn) *conn {
+	source := common.NewBoundedReader(raw)
+	return &conn{raw: raw, source: source, reader: bufio.NewReaderSize(source, readBufferSize), idleTimeout: maxIdleTime}
+}
+
 // roundTrip writes a request and reads the head of the answer. A body longer than
 // maxInlineBody is written while roundTrip waits for the answer, because a backend
 // server may answer before it has read the body. An error that wraps ErrNotSent
@@ -74,8 +83,10 @@
 }
 
 // readHead reads the head of the final answer and skips informational (1xx)
-// answers other than 101 Switching Protocols.
+// answers other than 101 Switching Protocols. All of that may have maxHeadBytes.
 func (cn *conn) readHead(method string) (*http.Response, error) {
+	cn.source.Bound(maxHeadBytes)
+	defer cn.source.Unbound()
 	_, err := cn.reader.Peek(1)
 	cn.answerStarted = err == nil
 	for {
--- a/pkg/booking/claims.go
+++ b/pkg/booking/claims.go
@@ -182,14 +182,25 @@
 // unknown outcome. The answer is not kept either when the claim is gone from the
 // store, for example because its lease expired.
 func (c *Claim) Finish(status int32, headers []*wire.Header, body []byte) {
-	c.document.Finished = true
-	c.document.Status = status
 	c.document.Headers = headers
 	c.document.Body = body
 	if len(body) > MaxKeptAnswer {
 		c.document.Body = nil
 		c.document.Truncated = true
 	}
+	c.finish(status)
+}
+
+// FinishTooLong stores that the request ran and that its answer was too long to be
+// kept.
+func (c *Claim) FinishTooLong(status int32) {
+	c.document.Truncated = true
+	c.finish(status)
+}
+
+func (c *Claim) finish(status int32) {
+	c.document.Finished = true
+	c.document.Status = status
 	ctx, cancel := context.WithTimeout(context.Background(), updateTimeout)
 	defer cancel()
 	lease, err := c.claims.store.Lease(ctx)
--- /dev/null
+++ b/pkg/common/bounded_reader.go
@@ -0,0 +1,45 @@
+package common
+
+import (
+	"errors"
+	"io"
+)
+
+// ErrBound is the error of a BoundedReader at its bound.
+var ErrBound = errors.New("more bytes than the bound")
+
+// BoundedReader counts the bytes that it reads from another reader. While it is
+// bounded it refuses to read more than the bound, so that input without an end is
+// not taken for a long one.
+type BoundedReader struct {
+	source  io.Reader
+	total   int64
+	bounded bool
+	left    int64
+}
+
+// NewBoundedReader returns a reader without a bound.
+func NewBoundedReader(source io.Reader) *BoundedReader { return &BoundedReader{source: source} }
+
+// Bound allows n more bytes until Unbound is called.
+func (r *BoundedReader) Bound(n int64) { r.bounded, r.left = true, n }
+
+// Unbound removes the bound.
+func (r *BoundedReader) Unbound() { r.bounded = false }
+
+// Total returns the number of bytes that were read.
+func (r *BoundedReader) Total() int64 { return r.total }
+
+// Read implements io.Reader. It returns ErrBound at the bound.
+func (r *BoundedReader) Read(p []byte) (int, error) {
+	if r.bounded {
+		if r.left <= 0 {
+			return 0, ErrBound
+		}
+		p = p[:min(int64(len(p)), r.left)]
+	}
+	n, err := r.source.Read(p)
+	r.total += int64(n)
+	r.left -= int64(n)
+	return n, err
+}
--- a/pkg/listener/request.go
+++ b/pkg/listener/request.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 )
 
 const (
@@ -40,33 +42,11 @@
 	errConnectionStopping = errors.New("the connection is stopping")
 )
 
-// boundedReader counts the bytes that it reads and, while a head is read, bounds
-// them.
-type boundedReader struct {
-	raw     net.Conn
-	total   int64
-	bounded bool
-	left    int64
-}
-
-func (r *boundedReader) Read(p []byte) (int, error) {
-	if r.bounded {
-		if r.left <= 0 {
-			return 0, errHeadTooLarge
-		}
-		p = p[:min(int64(len(p)), r.left)]
-	}
-	n, err := r.raw.Read(p)
-	r.total += int64(n)
-	r.left -= int64(n)
-	return n, err
-}
-
 // requestReader reads the requests of one connection.
 type requestReader struct {
 	limits Limits
 	raw    net.Conn
-	source *boundedReader
+	source *common.BoundedReader
 	buffer *bufio.Reader
 	// afterPost is set behind a POST request. Some callers send an empty line there
 	// that belongs to no request.
@@ -74,12 +54,12 @@
 }
 
 func newRequestReader(raw net.Conn, limits Limits) *requestReader {
-	source := &boundedReader{raw: raw}
+	source := common.NewBoundedReader(raw)
 	return &requestReader{limits: limits, raw: raw, source: source, buffer: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // consumed returns the bytes that were read and parsed.
-func (r *requestReader) consumed() int64 { return r.source.total - int64(r.buffer.Buffered()) }
+func (r *requestReader) consumed() int64 { return r.source.Total() - int64(r.buffer.Buffered()) }
 
 // awaitByte waits for the first byte of the next request.
 func (r *requestReader) awaitByte() error {
@@ -107,8 +87,8 @@
 // readHead reads the head of a request whose first byte has arrived. A
 // requestError is a request that cannot be served.
 func (r *requestReader) readHead() (*http.Request, error) {
-	r.source.bounded, r.source.left = true, r.limits.HeaderBytes
-	defer func() { r.source.bounded = false }()
+	r.source.Bound(r.limits.HeaderBytes)
+	defer r.source.Unbound()
 	req, err := http.ReadRequest(r.buffer)
 	if err != nil {
 		return nil, classifyReadError(err)
@@ -143,7 +123,7 @@
 func classifyReadError(err error) error {
 	var netErr net.Error
 	switch {
-	case errors.Is(err, errHeadTooLarge):
+	case errors.Is(err, common.ErrBound):
 		return errHeadTooLarge
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return errReadTimedOut
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -73,18 +74,20 @@
 }
 
 // deliver sends an answer to the entry node. It reads the answer whole first,
-// unless that is longer than maxBufferedAnswerBytes and there is no claim.
+// unless that is longer than maxBufferedAnswerBytes.
 func (r *run) deliver(ctx context.Context, answer *backend.Answer, incarnation string, started time.Time) error {
 	failed := answer.Status() >= minServerErrorStatus
-	if answer.Length() > maxBufferedAnswerBytes && r.claim == nil {
-		r.recordOutcome(failed, r.owner.Now().Sub(started))
-		return r.stream(answer)
+	if answer.Length() > maxBufferedAnswerBytes {
+		return r.stream(answer, nil, r.owner.Now().Sub(started))
 	}
-	body, err := io.ReadAll(answer)
+	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswerBytes+1))
 	if err != nil {
 		r.owner.Count(`hibiscusrock_answers_cut_total`)
 		return r.handleError(ctx, err, incarnation, started)
 	}
+	if len(body) > maxBufferedAnswerBytes {
+		return r.stream(answer, body, r.owner.Now().Sub(started))
+	}
 	r.recordOutcome(failed, r.owner.Now().Sub(started))
 	if !failed {
 		r.owner.crashTracker.RecordSuccess(r.in.GetFingerprint())
@@ -292,27 +295,52 @@
 	return false
 }
 
-// stream sends a long answer to the entry node as it arrives.
-func (r *run) stream(answer *backend.Answer) error {
+// stream sends a long answer to the entry node as it arrives, after the part of its
+// body that was read already. took is the time until its head arrived. The answer
+// may have no end: one chunk of it is in memory at a time, and the end of the
+// request's context ends it.
+func (r *run) stream(answer *backend.Answer, first []byte, took time.Duration) error {
 	out := r.answerHead(answer)
-	left := answer.Length()
+	body := io.MultiReader(bytes.NewReader(first), answer)
 	buffer := make([]byte, maxChunkBytes)
 	for {
-		chunk := buffer[:min(int64(len(buffer)), left)]
-		if _, err := io.ReadFull(answer, chunk); err != nil {
+		n, err := fill(body, buffer)
+		if err != nil && !errors.Is(err, io.EOF) {
 			r.owner.Count(`hibiscusrock_answers_cut_total`)
+			r.recordOutcome(true, took)
 			return err
 		}
-		left -= int64(len(chunk))
-		out.Body = chunk
-		out.Last = left == 0
-		if err := r.send(out); err != nil || out.Last {
+		out.Body, out.Last = buffer[:n], err != nil
+		if out.GetLast() {
+			r.recordOutcome(answer.Status() >= minServerErrorStatus, took)
+			r.finishStreamed(answer)
+		}
+		if err := r.send(out); err != nil || out.GetLast() {
 			return err
 		}
 		out = &wire.CallAnswer{}
 	}
 }
 
+// finishStreamed finishes the claim of a request whose answer was streamed. Such an
+// answer is too long to be kept.
+func (r *run) finishStreamed(answer *backend.Answer) {
+	if r.claim != nil {
+		r.claim.FinishTooLong(int32(answer.Status()))
+	}
+}
+
+// fill reads until p is full or r ends. Unlike io.ReadFull it returns the error of r
+// as it is, so that an answer that breaks off differs from one that ends.
+func fill(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var m int
+		m, err = r.Read(p[n:])
+		n += m
+	}
+	return n, err
+}
+
 // answerHead returns the first chunk of an answer, still without a body.
 func (r *run) answerHead(answer *backend.Answer) *wire.CallAnswer {
 	head := &wire.CallAnswer{
