Keep a node alive through a panic of one call and a lack of descriptors

Change: recoveringHandler answers such a call with an error and logs handler_panicked; common.Accept waits and tries again after errors that pass, for the peer port and the callers' port.

Ruled out: recover in the background loops, which would go on with a lock that the panic left held.

--- a/pkg/listener/server.go
+++ b/pkg/listener/server.go
@@ -11,16 +11,10 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 )
 
-const (
-	initialAcceptDelay = 5 * time.Millisecond
-	maxAcceptDelay     = time.Second
-)
-
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
 	*common.Common
@@ -77,32 +71,18 @@
 }
 
 func (s *Server) accept(ctx context.Context, l net.Listener) error {
-	delay := initialAcceptDelay
 	for {
-		raw, err := l.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
+		raw, err := common.Accept(ctx, l)
+		if errors.Is(err, net.ErrClosed) {
 			return nil
-		case err != nil && isTemporary(err):
-			// The node is out of descriptors, or the caller was gone already.
-			if !common.Sleep(ctx, delay) {
-				return ctx.Err()
-			}
-			delay = min(2*delay, maxAcceptDelay)
-		case err != nil:
+		}
+		if err != nil {
 			return err
-		default:
-			delay = initialAcceptDelay
-			s.serveConn(ctx, raw)
 		}
+		s.serveConn(ctx, raw)
 	}
 }
 
-func isTemporary(err error) bool {
-	var temporary interface{ Temporary() bool }
-	return errors.As(err, &temporary) && temporary.Temporary()
-}
-
 // serveConn serves a connection; its end is awaited in Shutdown.
 func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
 	c := newConn(ctx, s, raw)
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"sync"
 
 	"golang.org/x/time/rate"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -41,7 +44,7 @@
 	return &Server{
 		Common:  cm,
 		secret:  secret,
-		server:  drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}),
+		server:  drpcserver.NewWithOptions(&recoveringHandler{Common: cm, next: mux}, drpcserver.Options{Manager: managerOptions()}),
 		limiter: rate.NewLimiter(maxHandshakesPerSecond, maxHandshakeBurst),
 		open:    make(map[net.Conn]bool),
 	}, nil
@@ -68,12 +71,12 @@
 
 func (s *Server) acceptLoop(ctx context.Context, listener net.Listener) error {
 	for {
-		raw, err := listener.Accept()
+		raw, err := common.Accept(ctx, listener)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
-			return fault.Wrap(err, fault.KindUnavailable, "the peer listener failed", "check the open file limit")
+			return fault.Wrap(err, fault.KindUnavailable, "the peer listener failed", "see the log")
 		}
 		if !s.limiter.Allow() {
 			s.Count(`hibiscusrock_peer_refused_total{reason="handshake_rate"}`)
@@ -90,6 +93,27 @@
 	}
 }
 
+// recoveringHandler answers a call whose handling panicked with an error, so that
+// one message does not end the process.
+type recoveringHandler struct {
+	*common.Common
+	next drpc.Handler
+}
+
+// HandleRPC implements drpc.Handler.
+func (h *recoveringHandler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		reason := recover()
+		if reason == nil {
+			return
+		}
+		h.Count(`hibiscusrock_handler_panics_total`)
+		h.Event(event.HandlerPanicked).WithField("error", reason).WithField("stack", string(debug.Stack())).Error("the handler of a node's call panicked")
+		err = fault.New(fault.KindInternal, "the handler of "+rpc+" panicked", "see the log of the node that was called")
+	}()
+	return h.next.HandleRPC(stream, rpc)
+}
+
 func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
 	defer s.handlers.Done()
 	defer s.remove(raw)
