Write a registration again only after a change of a backend server

Change: only an update that failed is tried again at the next renewal.

Ruled out: comparing without the number; the store's record has to tell which heartbeat it is of.

--- a/pkg/node/registrar_test.go
+++ b/pkg/node/registrar_test.go
@@ -76,26 +76,31 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := &fakeRegistry{revision: test.before}
-			content := ""
-			r := newRegistrar(common.New(), f.registry(), "own", func() []byte { return []byte(content) }, func(string, []byte) (string, bool) { return "a", true })
-			for _, step := range test.steps {
-				switch step {
-				case "lose":
-					f.loseNext = true
-				case "late":
-					f.held()
-				case "read":
-					r.read(t.Context())
-				default:
-					content = step
-					if !r.update(t.Context()) {
-						r.renew(t.Context())
-					}
-				}
-			}
+			f.play(t, test.steps)
 			if f.value != test.want || f.calls != test.calls {
 				t.Errorf("got %q after %d writes, want %q after %d", f.value, f.calls, test.want, test.calls)
 			}
 		})
 	}
 }
+
+// play runs the steps of a test on a registrar.
+func (f *fakeRegistry) play(t *testing.T, steps []string) {
+	content := ""
+	r := newRegistrar(common.New(), f.registry(), "own", func() []byte { return []byte(content) }, func(string, []byte) (string, bool) { return "a", true })
+	for _, step := range steps {
+		switch step {
+		case "lose":
+			f.loseNext = true
+		case "late":
+			f.held()
+		case "read":
+			r.read(t.Context())
+		default:
+			content = step
+			if !r.update(t.Context()) {
+				r.renew(t.Context())
+			}
+		}
+	}
+}
--- a/pkg/node/store_bootstrapper.go
+++ b/pkg/node/store_bootstrapper.go
@@ -229,30 +229,32 @@
 func (b *storeBootstrapper) keepRegistered(ctx context.Context) {
 	b.awaitBackendServer(ctx)
 	pauses := newJoinBackoff(isolatedRetryInterval)
+	upToDate := true
 	for ctx.Err() == nil {
-		if !b.registrar.renew(ctx) || !b.registrar.update(ctx) {
+		if !b.registrar.renew(ctx) || !upToDate && !b.registrar.update(ctx) {
 			common.Sleep(ctx, pauses.NextBackOff())
 			continue
 		}
 		pauses.Reset()
-		b.updateUntilRenewal(ctx)
+		upToDate = b.updateUntilRenewal(ctx)
 	}
 }
 
 // updateUntilRenewal waits until the lease has to be renewed, and writes the
-// registration again when it changes before that.
-func (b *storeBootstrapper) updateUntilRenewal(ctx context.Context) {
+// registration again when a backend server changes before that. It returns false if
+// that failed.
+func (b *storeBootstrapper) updateUntilRenewal(ctx context.Context) bool {
 	timer := time.NewTimer(common.Jittered(registrationInterval))
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return true
 		case <-timer.C:
-			return
+			return true
 		case <-b.changed:
 			if !common.Sleep(ctx, updateDelay) || !b.registrar.update(ctx) {
-				return
+				return false
 			}
 		}
 	}
