Let a handler write nothing to an answer that has no body

Cause: found by reading the listener again. The entry writes the (empty) body of each answer; on 204 and 304 that write was an error, so that the entry took its caller for gone and broke the connection.

Change: writing no bytes succeeds on every answer, as with net/http.

Test: TestAnswersWithoutBody failed for both statuses.

--- a/pkg/listener/answer.go
+++ b/pkg/listener/answer.go
@@ -70,6 +70,9 @@
 	if a.status == 0 {
 		a.WriteHeader(http.StatusOK)
 	}
+	if len(p) == 0 {
+		return 0, nil
+	}
 	if !a.hasBody() {
 		if !bodyAllowed(a.status) {
 			return 0, http.ErrBodyNotAllowed
--- a/pkg/listener/server_test.go
+++ b/pkg/listener/server_test.go
@@ -508,3 +508,43 @@
 	c.send("hi")
 	c.wantAnswer(http.StatusOK, "hi")
 }
+
+// TestAnswersWithoutBody guards against answers that have no body by their status or
+// method and are then broken, or framed as if they had one: what follows on the
+// connection would be read as that body.
+func TestAnswersWithoutBody(t *testing.T) {
+	tests := map[string]struct {
+		method, length string
+		status         int
+	}{
+		"no content":           {method: "GET", status: http.StatusNoContent},
+		"not modified":         {method: "GET", status: http.StatusNotModified, length: "8"},
+		"HEAD":                 {method: "HEAD", status: http.StatusOK, length: "8"},
+		"HEAD without length":  {method: "HEAD", status: http.StatusOK},
+		"empty":                {method: "GET", status: http.StatusOK},
+		"empty, with a length": {method: "GET", status: http.StatusOK, length: "0"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			mux := http.NewServeMux()
+			mux.HandleFunc("/next", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "next") })
+			mux.HandleFunc("/first", func(w http.ResponseWriter, _ *http.Request) {
+				if test.length != "" {
+					w.Header().Set("Content-Length", test.length)
+				}
+				w.WriteHeader(test.status)
+				if _, err := w.Write(nil); err != nil {
+					t.Errorf("writing nothing failed with %v", err)
+				}
+			})
+			_, address := startServer(t, mux.ServeHTTP, DefaultLimits())
+			c := dial(t, address)
+			c.send(test.method + " /first HTTP/1.1\r\nHost: h\r\n\r\n" + get("/next"))
+			resp, body, err := c.answer(test.method)
+			if err != nil || resp.StatusCode != test.status || body != "" {
+				t.Fatalf("got %v %q, %v, want status %d and no body", resp, body, err, test.status)
+			}
+			c.wantAnswer(http.StatusOK, "next")
+		})
+	}
+}
