--- a/pkg/listener/server_test.go
+++ b/pkg/listener/server_test.go
@@ -528,15 +528,7 @@
 		t.Run(name, func(t *testing.T) {
 			mux := http.NewServeMux()
 			mux.HandleFunc("/next", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "next") })
-			mux.HandleFunc("/first", func(w http.ResponseWriter, _ *http.Request) {
-				if test.length != "" {
-					w.Header().Set("Content-Length", test.length)
-				}
-				w.WriteHeader(test.status)
-				if _, err := w.Write(nil); err != nil {
-					t.Errorf("writing nothing failed with %v", err)
-				}
-			})
+			mux.HandleFunc("/first", answerEmpty(t, test.status, test.length))
 			_, address := startServer(t, mux.ServeHTTP, DefaultLimits())
 			c := dial(t, address)
 			c.send(test.method + " /first HTTP/1.1\r\nHost: h\r\n\r\n" + get("/next"))
@@ -548,3 +540,15 @@
 		})
 	}
 }
+
+func answerEmpty(t *testing.T, status int, length string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if length != "" {
+			w.Header().Set("Content-Length", length)
+		}
+		w.WriteHeader(status)
+		if _, err := w.Write(nil); err != nil {
+			t.Errorf("writing nothing failed with %v", err)
+		}
+	}
+}
