Log the figures by which versions are compared, and what ends without an answer

Seen by operators: a rollout ends as done and nothing tells what the versions were compared by, nor how long a request had run that got no answer.

versions_compared is written by the leader at each change of the share, one line for each cause, with events, trials, expectation, chance and the latencies of both versions; request_outcome_unknown has the version and the time. No decision changes; tests of rollout, request, node, trace and event pass.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -36,6 +36,7 @@
 	OrderSeen              Name = "order_seen"
 	OrderRefused           Name = "order_refused"
 	ShareChanged           Name = "share_changed"
+	VersionsCompared       Name = "versions_compared"
 	VersionRolledBack      Name = "version_taken_back"
 	StatusWritten          Name = "status_written"
 	StatusFailed           Name = "status_failed"
@@ -62,7 +63,7 @@
 // All returns the descriptions of all events.
 func All() []Doc {
 	const call = "request, route, service, version, instance, table, elapsed_ms, remaining_ms, probes, reached, budget_left"
-	const run = "request, instance, route, reason, verdict, table, in_flight, wait_ms, work_ms, remaining_ms, repeated"
+	const run = "request, instance, version, route, reason, verdict, table, in_flight, wait_ms, work_ms, remaining_ms, repeated"
 	return []Doc{
 		{NodeStarted, "The node listens and serves.", "sequence"},
 		{NodeJoined, "The node received what other nodes know about its host, or its wait for that timed out; it serves now.", "cause, after_ms, members"},
@@ -87,6 +88,7 @@
 		{OrderSeen, "The operators ordered the move of a service to a version.", "service, version, revision, duration_ms"},
 		{OrderRefused, "An order was invalid.", "key, error"},
 		{ShareChanged, "The share of a version under an order changed on this node.", "service, version, permille, state, cause, steward, epoch, step"},
+		{VersionsCompared, "The figures by which the leader compared the versions for one cause over all routes, when the share changed: events are failed or slow requests.", "service, version, permille, cause, new_events, new_trials, old_events, old_trials, expected, chance, old_median_ms, old_p90_ms, new_median_ms, new_p90_ms"},
 		{VersionRolledBack, "The leader found a version worse than the previous one and rolled it back.", "service, version, cause"},
 		{StatusWritten, "The state of an order was written for the operators.", "service, version, state, revision, cause"},
 		{StatusFailed, "The status of an order cannot be encoded.", "error"},
@@ -96,7 +98,7 @@
 		{RequestRetried, "A request is retried on another backend server.", call + ", reason, attempt"},
 		{RequestServed, "A request was answered; logged for one in a hundred requests and for every retried one.", call + ", status, attempts"},
 		{RequestRefusedByOwner, "The node of the backend server refused a request before it ran.", run + ", retry_after_ms"},
-		{RequestOutcomeUnknown, "A request was sent to the backend server, but no complete answer was received.", run},
+		{RequestOutcomeUnknown, "A request was sent to the backend server, but no complete answer was received.", run + ", elapsed_ms"},
 		{RequestFailedByBackend, "The backend server answered with a status of 500 or above.", run + ", status"},
 		{HandlerPanicked, "The handling of a request panicked; the connection of its caller was closed.", "error, stack"},
 		{AnswerMismatched, "An answer that belongs to another request was dropped.", "request, instance"},
--- a/pkg/node/store_shares.go
+++ b/pkg/node/store_shares.go
@@ -72,9 +72,27 @@
 		r.rollBack(t, d, finding)
 		changed = true
 	}
+	if changed {
+		r.logComparisons(t, d.evaluator)
+	}
 	r.publishDecision(t, d, changed)
 }
 
+// logComparisons logs the figures on which the share of an order's version was
+// decided.
+func (r *storeRollouts) logComparisons(t *trackedOrder, evaluator *rollout.Evaluator) {
+	oldVersion, newVersion := evaluator.LatencyQuantiles()
+	for _, c := range evaluator.Comparisons() {
+		r.Event(event.VersionsCompared).WithFields(logrus.Fields{
+			"service": t.order.Service, "version": t.order.Version, "permille": evaluator.State().Permille, "cause": c.Cause,
+			"new_events": c.NewEvents, "new_trials": c.NewTrials, "old_events": c.OldEvents, "old_trials": c.OldTrials,
+			"expected": c.Expected, "chance": c.Chance,
+			"old_median_ms": oldVersion.Median.Milliseconds(), "old_p90_ms": oldVersion.P90.Milliseconds(),
+			"new_median_ms": newVersion.Median.Milliseconds(), "new_p90_ms": newVersion.P90.Milliseconds(),
+		}).Info("versions compared")
+	}
+}
+
 // report writes the state of one order to the operators' status if it changed,
 // and then publishes the decision, so that the nodes receive the state done
 // after the operators.
--- a/pkg/request/log.go
+++ b/pkg/request/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -81,6 +82,16 @@
 	o.Event(name).WithFields(fields).Info("request not answered")
 }
 
+// logOutcomeUnknown logs a request that a backend server did not answer in full
+// within the elapsed time.
+func (o *Owner) logOutcomeUnknown(in *wire.CallRequest, refusal *verdict.Refusal, answer *wire.CallAnswer, elapsed time.Duration) {
+	fields := ownerFields(in, answer)
+	fields["reason"] = refusal.Reason()
+	fields["verdict"] = refusal.Verdict()
+	fields["elapsed_ms"] = elapsed.Milliseconds()
+	o.Event(event.RequestOutcomeUnknown).WithFields(fields).Info("request not answered")
+}
+
 // logFailure logs an answer of a backend server with a server error status.
 func (o *Owner) logFailure(in *wire.CallRequest, answer *wire.CallAnswer) {
 	fields := ownerFields(in, answer)
@@ -93,6 +104,7 @@
 	return logrus.Fields{
 		"request":      in.GetRequestId(),
 		"instance":     in.GetInstance(),
+		"version":      in.GetVersion(),
 		"route":        in.GetRoute(),
 		"table":        in.GetSequence(),
 		"in_flight":    answer.GetInFlight(),
--- a/pkg/request/owner.go
+++ b/pkg/request/owner.go
@@ -109,13 +109,20 @@
 }
 
 func (o *Owner) sendRefusal(b *Backend, in *wire.CallRequest, refusal *verdict.Refusal, send func(*wire.CallAnswer) error) error {
+	answer := o.refusalAnswer(b, in, refusal)
+	o.logOwnerRefusal(in, refusal, answer)
+	return send(answer)
+}
+
+// refusalAnswer counts a refusal and returns it as an answer, with the load of the
+// backend server if there is one.
+func (o *Owner) refusalAnswer(b *Backend, in *wire.CallRequest, refusal *verdict.Refusal) *wire.CallAnswer {
 	o.Count(`hibiscusrock_owner_refusals_total{reason="` + string(refusal.Reason()) + `"}`)
 	answer := refusal.ToWire()
 	if b != nil {
 		b.addLoadReport(o.workOf(in, o.Now()), answer)
 	}
-	o.logOwnerRefusal(in, refusal, answer)
-	return send(answer)
+	return answer
 }
 
 // selectBackend returns the backend server that may run the request, or a refusal.
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -46,6 +46,7 @@
 	claim     *booking.Claim
 	outcome   admission.Outcome
 	cold      bool
+	started   time.Time
 	requestID string
 }
 
@@ -53,12 +54,12 @@
 // entry node.
 func (r *run) do(ctx context.Context) error {
 	incarnation := r.backend.incarnationID()
-	started := r.owner.Now()
-	r.cold = r.backend.recordRun(started)
+	r.started = r.owner.Now()
+	r.cold = r.backend.recordRun(r.started)
 	answer, err := r.fetchAnswer(ctx)
-	r.owner.Observe(`hibiscusrock_backend_server_seconds`, started)
+	r.owner.Observe(`hibiscusrock_backend_server_seconds`, r.started)
 	if err != nil {
-		return r.handleError(ctx, err, incarnation, started)
+		return r.handleError(ctx, err, incarnation)
 	}
 	defer answer.Close()
 	if r.isReplaced(answer) {
@@ -70,25 +71,25 @@
 	if r.isShed(answer) {
 		return r.refuseShed(answer)
 	}
-	return r.deliver(ctx, answer, incarnation, started)
+	return r.deliver(ctx, answer, incarnation)
 }
 
 // deliver sends an answer to the entry node. It reads the answer whole first,
 // unless that is longer than maxBufferedAnswerBytes.
-func (r *run) deliver(ctx context.Context, answer *backend.Answer, incarnation string, started time.Time) error {
+func (r *run) deliver(ctx context.Context, answer *backend.Answer, incarnation string) error {
 	failed := answer.Status() >= minServerErrorStatus
 	if answer.Length() > maxBufferedAnswerBytes {
-		return r.stream(answer, nil, r.owner.Now().Sub(started))
+		return r.stream(answer, nil, r.took())
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswerBytes+1))
 	if err != nil {
 		r.owner.Count(`hibiscusrock_answers_cut_total`)
-		return r.handleError(ctx, err, incarnation, started)
+		return r.handleError(ctx, err, incarnation)
 	}
 	if len(body) > maxBufferedAnswerBytes {
-		return r.stream(answer, body, r.owner.Now().Sub(started))
+		return r.stream(answer, body, r.took())
 	}
-	r.recordOutcome(failed, r.owner.Now().Sub(started))
+	r.recordOutcome(failed, r.took())
 	if !failed {
 		r.owner.crashTracker.RecordSuccess(r.in.GetFingerprint())
 	}
@@ -218,6 +219,9 @@
 	}
 }
 
+// took returns the time since the request was sent to the backend server.
+func (r *run) took() time.Duration { return r.owner.Now().Sub(r.started) }
+
 // recordOutcome records whether the backend server failed the request, for the
 // admission gate, the rollout evidence, the breaker and the failure rate.
 func (r *run) recordOutcome(failed bool, took time.Duration) {
@@ -234,7 +238,7 @@
 // server no longer accepts connections, it is marked down, and a request that was
 // sent to it is recorded as a possible cause of the crash, unless the backend
 // server was marked down before.
-func (r *run) handleError(ctx context.Context, err error, incarnation string, started time.Time) error {
+func (r *run) handleError(ctx context.Context, err error, incarnation string) error {
 	if errors.Is(err, backend.ErrNotSent) {
 		r.outcome = admission.Failed
 		if ctx.Err() == nil {
@@ -242,7 +246,7 @@
 		}
 		return r.refuseNotRun(verdict.BackendRefused)
 	}
-	took := r.owner.Now().Sub(started)
+	took := r.took()
 	switch {
 	case r.backend.isDown():
 		return r.refuseUnknown(verdict.BackendCrashed)
@@ -278,7 +282,10 @@
 
 // refuseUnknown refuses a request that may have run. Its claim stays held.
 func (r *run) refuseUnknown(reason verdict.Reason) error {
-	return r.owner.sendRefusal(r.backend, r.in, verdict.Refuse(verdict.Unknown, reason), r.send)
+	refusal := verdict.Refuse(verdict.Unknown, reason)
+	answer := r.owner.refusalAnswer(r.backend, r.in, refusal)
+	r.owner.logOutcomeUnknown(r.in, refusal, answer, r.took())
+	return r.send(answer)
 }
 
 // refusesConnections reports whether a backend server that broke a connection has
--- a/pkg/rollout/comparison.go
+++ b/pkg/rollout/comparison.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 )
 
 const (
@@ -41,11 +42,14 @@
 	priorEvents = 0.5
 )
 
+// allRoutes stands for the sum over the routes.
+const allRoutes = "all routes"
+
 // Finding says in which way the new version is worse than the old one.
 type Finding struct {
 	// Cause is "failures" or "latency".
 	Cause string
-	// Route is the name of a route, or "all routes" for their sum.
+	// Route is the name of a route, or allRoutes for their sum.
 	Route string
 	// Figures gives the counts of both versions, for people.
 	Figures string
@@ -104,6 +108,55 @@
 // holds the share but does not roll the version back.
 func LooksWorse(windows ...Window) bool { return compareAt(suspicionLevel, windows) != nil }
 
+// Comparison holds the figures by which the versions are compared for one cause
+// over all routes.
+type Comparison struct {
+	Cause string
+	// Events are failed or slow requests, Trials the requests that could have
+	// been. Windows without enough requests on the old version are left out.
+	NewEvents, NewTrials uint64
+	OldEvents, OldTrials uint64
+	// Expected is the number of events on the new version if it had the rates of
+	// the old one.
+	Expected float64
+	// Chance is the probability of NewEvents or more if the new version were as
+	// good as the old one.
+	Chance float64
+}
+
+// Quantiles holds the latencies at quantiles of one version's requests. They are
+// the upper limits of histogram buckets.
+type Quantiles struct {
+	Median, P90 time.Duration
+}
+
+// LatencyQuantiles returns the quantiles of both versions over all routes.
+func LatencyQuantiles(windows ...Window) (oldVersion, newVersion Quantiles) {
+	var sum VersionCounts
+	for _, window := range windows {
+		for _, sides := range window {
+			sum.Old.plus(sides.Old)
+			sum.New.plus(sides.New)
+		}
+	}
+	return sum.Old.quantiles(), sum.New.quantiles()
+}
+
+// Comparisons returns the figures for each cause.
+func Comparisons(windows ...Window) []Comparison {
+	var comparisons []Comparison
+	for _, c := range criteria {
+		_, all := c.sum(windows)
+		comparisons = append(comparisons, Comparison{
+			Cause:     c.cause,
+			NewEvents: all.newEvents, NewTrials: all.newTrials,
+			OldEvents: all.oldEvents, OldTrials: all.oldTrials,
+			Expected: all.expected, Chance: all.chance(),
+		})
+	}
+	return comparisons
+}
+
 func compareAt(level float64, windows []Window) *Finding {
 	for _, c := range criteria {
 		if finding := c.compare(level, windows); finding != nil {
@@ -130,8 +183,22 @@
 }
 
 func (c criterion) compare(level float64, windows []Window) *Finding {
-	byRoute := make(map[string]*tallySum)
-	var all tallySum
+	byRoute, all := c.sum(windows)
+	for _, route := range slices.Sorted(maps.Keys(byRoute)) {
+		if c.isWorse(level, byRoute[route]) {
+			return &Finding{Cause: c.cause, Route: route, Figures: c.describe(byRoute[route].tally)}
+		}
+	}
+	if c.isWorse(level, all) {
+		return &Finding{Cause: c.cause, Route: allRoutes, Figures: c.describe(all.tally)}
+	}
+	return nil
+}
+
+// sum returns the sums over the windows of each route and of all routes. Routes of
+// a window on which the old version has too few requests are left out.
+func (c criterion) sum(windows []Window) (byRoute map[string]*tallySum, all *tallySum) {
+	byRoute, all = make(map[string]*tallySum), &tallySum{}
 	for _, window := range windows {
 		for route, sides := range window {
 			t, ok := c.count(sides)
@@ -145,15 +212,7 @@
 			all.add(t, c.rate(t))
 		}
 	}
-	for _, route := range slices.Sorted(maps.Keys(byRoute)) {
-		if c.isWorse(level, byRoute[route]) {
-			return &Finding{Cause: c.cause, Route: route, Figures: c.describe(byRoute[route].tally)}
-		}
-	}
-	if c.isWorse(level, &all) {
-		return &Finding{Cause: c.cause, Route: "all routes", Figures: c.describe(all.tally)}
-	}
-	return nil
+	return byRoute, all
 }
 
 // rate estimates the old version's rate of events. The prior is priorEvents
@@ -170,9 +229,18 @@
 	if s.newEvents < c.minEvents || float64(s.newEvents) <= s.expected {
 		return false
 	}
+	return s.chance() < level
+}
+
+// chance returns the probability of at least this many events on the new version
+// if it were as good as the old one.
+func (s *tallySum) chance() float64 {
+	if s.newTrials == 0 {
+		return 1
+	}
 	rate := s.expected / float64(s.newTrials)
 	weight := float64(s.oldTrials) + 2*priorEvents
-	return betaBinomialTail(s.newEvents, s.newTrials, rate*weight, (1-rate)*weight) < level
+	return betaBinomialTail(s.newEvents, s.newTrials, rate*weight, (1-rate)*weight)
 }
 
 func countFailures(s VersionCounts) (tally, bool) {
--- a/pkg/rollout/evaluator.go
+++ b/pkg/rollout/evaluator.go
@@ -86,6 +86,15 @@
 	return nil, changed
 }
 
+// Comparisons returns the figures by which the versions are compared over all
+// stages.
+func (e *Evaluator) Comparisons() []Comparison { return Comparisons(e.history.Stages()...) }
+
+// LatencyQuantiles returns the quantiles of both versions over all stages and routes.
+func (e *Evaluator) LatencyQuantiles() (oldVersion, newVersion Quantiles) {
+	return LatencyQuantiles(e.history.Stages()...)
+}
+
 // Halt returns the halt of a move for a finding in one data centre.
 func (f *Finding) Halt(move *wire.Move, dataCentre string, at time.Time) *wire.Halt {
 	return &wire.Halt{
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -178,6 +178,10 @@
 	return latencyBuckets - 1
 }
 
+func (c *Counts) quantiles() Quantiles {
+	return Quantiles{Median: BucketLimit(c.quantileBucket(0.5)), P90: BucketLimit(c.quantileBucket(0.9))}
+}
+
 // VersionCounts holds the outcomes of the old and the new version on one route.
 type VersionCounts struct {
 	Old Counts `json:"old"`
