Count requests without an answer as evidence of a slow version

Callers saw: requests on a slow version end at their deadline, and the version is taken for as fast as the old one.

The recorder now observes a request from its start: one that was abandoned counts with the time that it had run, and one that runs counts by its age, as slow once that is beyond the limit.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -141,7 +141,7 @@
 }
 
 func (n *Node) buildReleaseRequests() {
-	n.recorder = rollout.NewRecorder()
+	n.recorder = rollout.NewRecorder(n.Now)
 	n.lease = &claimLease{client: n.platform, now: n.Now}
 	claims := booking.NewClaims(n.Common, booking.Store{
 		Get:      n.platform.Get,
--- a/pkg/node/release_moves.go
+++ b/pkg/node/release_moves.go
@@ -59,10 +59,8 @@
 	evaluator *rollout.Evaluator
 	resumed   bool
 	reported  catalog.Report
-	// requests, failures and published describe the evidence that was last
-	// published, and when.
-	requests  uint64
-	failures  uint64
+	// progress is that of the evidence that was last published, at published.
+	progress  rollout.Progress
 	published time.Time
 }
 
@@ -233,18 +231,13 @@
 	if len(totals) == 0 && !m.hostsService(move.GetService()) {
 		return
 	}
-	// The count starts at 1, so that evidence is published once although no
-	// request was served yet.
-	requests, failures := uint64(1), uint64(0)
-	for _, total := range totals {
-		requests += total.GetRequests()
-		failures += total.GetFailures()
-	}
+	progress := rollout.ProgressOf(totals)
+	changed := t.published.IsZero() || progress.Running || progress != t.progress
 	due := m.Now().Sub(t.published) >= evidenceInterval
-	if requests == t.requests || (failures == t.failures && !due) {
+	if !changed || (progress.Failures == t.progress.Failures && !due) {
 		return
 	}
-	t.requests, t.failures, t.published = requests, failures, m.Now()
+	t.progress, t.published = progress, m.Now()
 	r := &wire.Record{
 		Key:   gossip.PrefixEvidence + m.settings.Node + "/" + move.GetService(),
 		Epoch: m.members.Incarnation(),
--- a/pkg/node/store_adapter.go
+++ b/pkg/node/store_adapter.go
@@ -66,7 +66,7 @@
 }
 
 func (n *Node) buildStoreRequests() {
-	n.recorder = rollout.NewRecorder()
+	n.recorder = rollout.NewRecorder(n.Now)
 	var cleanUp func()
 	n.owner, cleanUp = request.NewOwner(n.Common, n.recorder, n.crashTracker, request.OwnerHooks{
 		QueueLength: n.queueLength,
--- a/pkg/node/store_rollouts.go
+++ b/pkg/node/store_rollouts.go
@@ -65,8 +65,10 @@
 	receivedAt time.Time
 	// strandedAt is when the leader first reported that it cannot reach the store.
 	strandedAt time.Time
-	// sentRequests is the number of requests in the evidence last sent.
-	sentRequests uint64
+	// sentProgress is that of the evidence last sent; it is sent once although no
+	// request was served yet.
+	evidenceSent bool
+	sentProgress rollout.Progress
 	decisions    *orderDecisions
 }
 
@@ -343,16 +345,11 @@
 	if !r.hostsService(t.order.Service) && len(totals) == 0 {
 		return
 	}
-	// The count starts at 1, so that evidence is sent once although no request
-	// was served yet.
-	requests := uint64(1)
-	for _, total := range totals {
-		requests += total.GetRequests()
-	}
+	progress := rollout.ProgressOf(totals)
 	r.mu.Lock()
 	leader := t.record.GetNode()
-	changed := t.sentRequests != requests
-	t.sentRequests = requests
+	changed := !t.evidenceSent || progress.Running || progress != t.sentProgress
+	t.evidenceSent, t.sentProgress = true, progress
 	r.mu.Unlock()
 	if !changed && leader != r.settings.Node {
 		return
--- a/pkg/request/heartbeats_test.go
+++ b/pkg/request/heartbeats_test.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	cm := common.New()
 	crashTracker := quarantine.NewCrashTracker(cm, gossip.New(), "self", func() uint64 { return 1 })
-	o, cleanUp := NewOwner(cm, rollout.NewRecorder(), crashTracker, OwnerHooks{
+	o, cleanUp := NewOwner(cm, rollout.NewRecorder(cm.Now), crashTracker, OwnerHooks{
 		QueueLength:  func(string) int { return 8 },
 		Halted:       func(string, string) bool { return false },
 		IsMoveTarget: func(string, string) bool { return false },
--- a/pkg/request/owner_test.go
+++ b/pkg/request/owner_test.go
@@ -46,7 +46,7 @@
 	cm := common.New()
 	crashTracker := quarantine.NewCrashTracker(cm, gossip.New(), "self", func() uint64 { return 1 })
 	no := func(string, string) bool { return false }
-	o, cleanUp := NewOwner(cm, rollout.NewRecorder(), crashTracker, OwnerHooks{
+	o, cleanUp := NewOwner(cm, rollout.NewRecorder(cm.Now), crashTracker, OwnerHooks{
 		QueueLength:  func(string) int { return 4 },
 		Halted:       no,
 		IsMoveTarget: no,
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/backend"
 	"github.com/hibiscusrock/hibiscusrock/pkg/booking"
 	"github.com/hibiscusrock/hibiscusrock/pkg/event"
+	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
 	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -45,9 +46,10 @@
 	send      func(*wire.CallAnswer) error
 	claim     *booking.Claim
 	outcome   admission.Outcome
-	cold      bool
 	started   time.Time
 	requestID string
+	// observation counts the run as evidence for or against the version.
+	observation *rollout.Observation
 }
 
 // do sends the request to the backend server, and the answer or a refusal to the
@@ -55,7 +57,8 @@
 func (r *run) do(ctx context.Context) error {
 	incarnation := r.backend.incarnationID()
 	r.started = r.owner.Now()
-	r.cold = r.backend.recordRun(r.started)
+	r.observation = r.owner.recorder.Start(r.in.GetService(), r.in.GetVersion(), r.in.GetRoute(), r.backend.recordRun(r.started))
+	defer r.observation.Abandon()
 	answer, err := r.fetchAnswer(ctx)
 	r.owner.Observe(`hibiscusrock_backend_server_seconds`, r.started)
 	if err != nil {
@@ -79,7 +82,7 @@
 func (r *run) deliver(ctx context.Context, answer *backend.Answer, incarnation string) error {
 	failed := answer.Status() >= minServerErrorStatus
 	if answer.Length() > maxBufferedAnswerBytes {
-		return r.stream(answer, nil, r.took())
+		return r.stream(answer, nil)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswerBytes+1))
 	if err != nil {
@@ -87,9 +90,9 @@
 		return r.handleError(ctx, err, incarnation)
 	}
 	if len(body) > maxBufferedAnswerBytes {
-		return r.stream(answer, body, r.took())
+		return r.stream(answer, body)
 	}
-	r.recordOutcome(failed, r.took())
+	r.recordOutcome(failed)
 	if !failed {
 		r.owner.crashTracker.RecordSuccess(r.in.GetFingerprint())
 	}
@@ -224,12 +227,12 @@
 
 // recordOutcome records whether the backend server failed the request, for the
 // admission gate, the rollout evidence, the breaker and the failure rate.
-func (r *run) recordOutcome(failed bool, took time.Duration) {
+func (r *run) recordOutcome(failed bool) {
 	r.outcome = admission.Succeeded
 	if failed {
 		r.outcome = admission.Failed
 	}
-	r.owner.recorder.Record(r.in.GetService(), r.in.GetVersion(), r.in.GetRoute(), failed, r.cold, took)
+	r.observation.End(failed)
 	r.backend.breaker.Record(failed)
 	r.backend.health.record(failed)
 }
@@ -246,27 +249,26 @@
 		}
 		return r.refuseNotRun(verdict.BackendRefused)
 	}
-	took := r.took()
 	switch {
 	case r.backend.isDown():
 		return r.refuseUnknown(verdict.BackendCrashed)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return r.refuseUnknown(verdict.CallerGone)
 	case ctx.Err() != nil:
-		r.recordOutcome(true, took)
+		r.recordOutcome(true)
 		r.outcome = admission.Overloaded
 		return r.refuseUnknown(verdict.DeadlinePassed)
 	case !r.owner.refusesConnections(r.record.GetAddress()):
 		// The reset of an idle connection that the backend server had dropped
 		// is not counted as a failure of the backend server.
 		if !errors.Is(err, backend.ErrStale) {
-			r.recordOutcome(true, took)
+			r.recordOutcome(true)
 		}
 		return r.refuseUnknown(verdict.AnswerLost)
 	}
 	// One crash fails all requests in flight but is recorded once as evidence.
 	if r.owner.markDown(r.backend) {
-		r.recordOutcome(true, took)
+		r.recordOutcome(true)
 	}
 	r.owner.crashTracker.RecordCrash(r.in.GetFingerprint(), incarnation)
 	return r.refuseUnknown(verdict.BackendCrashed)
@@ -274,6 +276,7 @@
 
 // refuseNotRun refuses a request that has not run, and releases its claim.
 func (r *run) refuseNotRun(reason verdict.Reason) error {
+	r.observation.Discard()
 	if r.claim != nil {
 		r.claim.Release()
 	}
@@ -306,7 +309,8 @@
 // body that was read already. took is the time until its head arrived. The answer
 // may have no end: one chunk of it is in memory at a time, and the end of the
 // request's context ends it.
-func (r *run) stream(answer *backend.Answer, first []byte, took time.Duration) error {
+func (r *run) stream(answer *backend.Answer, first []byte) error {
+	r.observation.HeadArrived()
 	out := r.answerHead(answer)
 	body := io.MultiReader(bytes.NewReader(first), answer)
 	buffer := make([]byte, maxChunkBytes)
@@ -314,12 +318,12 @@
 		n, err := fill(body, buffer)
 		if err != nil && !errors.Is(err, io.EOF) {
 			r.owner.Count(`hibiscusrock_answers_cut_total`)
-			r.recordOutcome(true, took)
+			r.recordOutcome(true)
 			return err
 		}
 		out.Body, out.Last = buffer[:n], err != nil
 		if out.GetLast() {
-			r.recordOutcome(answer.Status() >= minServerErrorStatus, took)
+			r.recordOutcome(answer.Status() >= minServerErrorStatus)
 			r.finishStreamed(answer)
 		}
 		if err := r.send(out); err != nil || out.GetLast() {
--- a/pkg/rollout/bounded_test.go
+++ b/pkg/rollout/bounded_test.go
@@ -53,9 +53,9 @@
 }
 
 type simulatedRequest struct {
-	version       string
-	started, ends time.Time
-	failed        bool
+	observation *Observation
+	ends        time.Time
+	failed      bool
 	// left is set when the caller leaves before the answer.
 	left bool
 }
@@ -68,10 +68,12 @@
 
 func newBoundedSimulation(w workload, seed uint64) *boundedSimulation {
 	start := time.UnixMilli(1_700_000_000_000)
-	return &boundedSimulation{
+	s := &boundedSimulation{
 		workload: w, random: rand.New(rand.NewPCG(seed, seed)), start: start, now: start,
-		evaluator: NewEvaluator(&wire.Move{Service: "stock", To: "v2", Sequence: 2}), recorder: NewRecorder(),
+		evaluator: NewEvaluator(&wire.Move{Service: "stock", To: "v2", Sequence: 2}),
 	}
+	s.recorder = NewRecorder(func() time.Time { return s.now })
+	return s
 }
 
 // run plays the move until its deadline.
@@ -113,7 +115,7 @@
 // does not end in time, either the backend server fails it at the timeout or
 // the caller leaves.
 func (s *boundedSimulation) send(version string, factor float64, failed bool) {
-	r := simulatedRequest{version: version, started: s.now, failed: failed}
+	r := simulatedRequest{observation: s.recorder.Start("stock", version, "checks", false), failed: failed}
 	work := time.Duration(factor * math.Exp(s.workSpread*s.random.NormFloat64()) * float64(s.usualWork))
 	if work > s.timeout {
 		work = s.timeout
@@ -140,8 +142,10 @@
 		switch {
 		case r.ends.After(s.now):
 			running = append(running, r)
-		case !r.left:
-			s.recorder.Record("stock", r.version, "checks", r.failed, false, r.ends.Sub(r.started))
+		case r.left:
+			r.observation.Abandon()
+		default:
+			r.observation.End(r.failed)
 		}
 	}
 	s.running = running
--- a/pkg/rollout/comparison.go
+++ b/pkg/rollout/comparison.go
@@ -249,16 +249,19 @@
 }
 
 // countSlow counts the requests that took over twice the old version's
-// slowQuantile. Only requests with a counted latency are trials.
+// slowQuantile, including those that have run as long without an answer. Trials are
+// these and the other requests with a counted latency.
 func countSlow(s VersionCounts) (tally, bool) {
-	t := tally{oldTrials: s.Old.timedRequests(), newTrials: s.New.timedRequests()}
-	if t.oldTrials < minTimedRequests {
-		return t, false
+	if s.Old.timedRequests() < minTimedRequests {
+		return tally{}, false
 	}
 	limit := max(s.Old.quantileBucket(slowQuantile), minQuantileBucket) + slowMarginBuckets
-	t.oldEvents = s.Old.slowerThan(limit)
-	t.newEvents = s.New.slowerThan(limit)
-	return t, true
+	return tally{
+		oldEvents: s.Old.slowerThan(limit),
+		oldTrials: s.Old.timedRequests() + s.Old.overdue(limit),
+		newEvents: s.New.slowerThan(limit),
+		newTrials: s.New.timedRequests() + s.New.overdue(limit),
+	}, true
 }
 
 // betaBinomialTail returns the probability of k or more events in n trials
--- a/pkg/rollout/evaluator_test.go
+++ b/pkg/rollout/evaluator_test.go
@@ -52,7 +52,7 @@
 		var evidence []*wire.Evidence
 		e := &wire.Evidence{Node: "n", Service: "quote", Sequence: 2}
 		for _, totals := range s.totals {
-			e.Totals = append(e.Totals, trimLatency(totals))
+			e.Totals = append(e.Totals, totals)
 		}
 		evidence = append(evidence, e)
 		s.evaluator.Observe(s.now, evidence)
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,83 +41,222 @@
 }
 
 // Recorder counts the outcomes of requests to the backend servers on this
-// node's host, by service, version and route. The counts only grow.
+// node's host, by service, version and route. The counts only grow, except for
+// those of running requests.
 type Recorder struct {
+	now    func() time.Time
 	mu     sync.Mutex
-	totals map[totalsKey]*wire.RouteTotals
+	totals map[totalsKey]*recordedRoute
 }
 
-// NewRecorder returns an empty recorder.
-func NewRecorder() *Recorder { return &Recorder{totals: make(map[totalsKey]*wire.RouteTotals)} }
+// recordedRoute holds the counts of one version on one route.
+type recordedRoute struct {
+	totals  *wire.RouteTotals
+	running map[*Observation]struct{}
+}
+
+// NewRecorder returns an empty recorder that reads the time from now.
+func NewRecorder(now func() time.Time) *Recorder {
+	return &Recorder{now: now, totals: make(map[totalsKey]*recordedRoute)}
+}
+
+// Observation is one request that runs on a backend server. The first call of
+// End, Abandon or Discard ends it; later calls do nothing.
+type Observation struct {
+	recorder *Recorder
+	route    *recordedRoute
+	started  time.Time
+	cold     bool
+	// answered is when the head of the answer arrived, if it is streamed.
+	answered time.Time
+}
 
-// Record counts one request that ran. The latency of a cold backend server, one
-// that has just started, does not depend on its version and is left out. Once
-// maxCountedRoutes combinations of service, version and route are counted,
-// requests of further combinations are ignored.
-func (r *Recorder) Record(service, version, route string, failed, cold bool, latency time.Duration) {
+// Start begins to observe a request that is sent to a backend server. The latency
+// of a cold backend server, one that has just started, does not depend on its
+// version and is left out. Once maxCountedRoutes combinations of service, version
+// and route are counted, requests of further combinations are ignored.
+func (r *Recorder) Start(service, version, route string, cold bool) *Observation {
+	o := &Observation{recorder: r, started: r.now(), cold: cold}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := totalsKey{service: service, version: version, route: route}
-	t := r.totals[key]
-	if t == nil {
+	o.route = r.totals[key]
+	if o.route == nil {
 		if len(r.totals) >= maxCountedRoutes {
-			return
+			return o
 		}
-		t = &wire.RouteTotals{Version: version, Route: route, Latency: make([]uint64, latencyBuckets)}
-		r.totals[key] = t
+		o.route = newRecordedRoute(version, route)
+		r.totals[key] = o.route
 	}
-	t.Requests++
-	if failed {
-		t.Failures++
+	o.route.running[o] = struct{}{}
+	return o
+}
+
+func newRecordedRoute(version, route string) *recordedRoute {
+	return &recordedRoute{
+		totals:  &wire.RouteTotals{Version: version, Route: route, Latency: make([]uint64, latencyBuckets), Abandoned: make([]uint64, latencyBuckets)},
+		running: make(map[*Observation]struct{}),
 	}
-	if !cold {
-		t.Latency[LatencyBucket(latency)]++
+}
+
+// End counts the request as answered or failed.
+func (o *Observation) End(failed bool) {
+	o.finish(func(t *wire.RouteTotals, bucket int) {
+		t.Requests++
+		if failed {
+			t.Failures++
+		}
+		if !o.cold {
+			t.Latency[bucket]++
+		}
+	})
+}
+
+// Abandon counts the request as one whose outcome will never be known, because its
+// caller left or its backend server went down. It took at least the time until now.
+func (o *Observation) Abandon() {
+	o.finish(func(t *wire.RouteTotals, bucket int) {
+		if !o.cold {
+			t.Abandoned[bucket]++
+		}
+	})
+}
+
+// Discard leaves the request out, because the backend server did not run it.
+func (o *Observation) Discard() { o.finish(func(*wire.RouteTotals, int) {}) }
+
+func (o *Observation) finish(count func(t *wire.RouteTotals, bucket int)) {
+	o.recorder.mu.Lock()
+	defer o.recorder.mu.Unlock()
+	if o.route == nil {
+		return
 	}
+	if _, running := o.route.running[o]; !running {
+		return
+	}
+	delete(o.route.running, o)
+	count(o.route.totals, LatencyBucket(o.took(o.recorder.now())))
+}
+
+// HeadArrived ends the time that counts as the latency of the request. The rest of
+// its answer takes as long as its caller reads.
+func (o *Observation) HeadArrived() {
+	o.recorder.mu.Lock()
+	defer o.recorder.mu.Unlock()
+	o.answered = o.recorder.now()
+}
+
+func (o *Observation) took(now time.Time) time.Duration {
+	if !o.answered.IsZero() {
+		now = o.answered
+	}
+	return now.Sub(o.started)
 }
 
 // Totals returns a copy of a service's totals, one entry per version and route
 // in no particular order.
 func (r *Recorder) Totals(service string) []*wire.RouteTotals {
+	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var totals []*wire.RouteTotals
-	for key, t := range r.totals {
+	for key, route := range r.totals {
 		if key.service == service {
-			totals = append(totals, trimLatency(t))
+			totals = append(totals, route.snapshot(now))
 		}
 	}
 	return totals
 }
 
-// trimLatency returns a copy of totals without the empty latency buckets at the end.
-func trimLatency(t *wire.RouteTotals) *wire.RouteTotals {
+func (r *recordedRoute) snapshot(now time.Time) *wire.RouteTotals {
+	running := make([]uint64, latencyBuckets)
+	for o := range r.running {
+		if !o.cold {
+			running[LatencyBucket(o.took(now))]++
+		}
+	}
+	t := r.totals
+	return &wire.RouteTotals{
+		Version: t.Version, Route: t.Route, Requests: t.Requests, Failures: t.Failures,
+		Latency: trimBuckets(t.Latency), Abandoned: trimBuckets(t.Abandoned), Running: trimBuckets(running),
+	}
+}
+
+// Progress holds what changes when there is new evidence.
+type Progress struct {
+	// Observed counts the requests that have ended, Failures those that failed.
+	Observed, Failures uint64
+	// Running is set while requests run.
+	Running bool
+}
+
+// ProgressOf returns the progress of totals.
+func ProgressOf(totals []*wire.RouteTotals) Progress {
+	var sum Counts
+	for _, t := range totals {
+		sum.add(t)
+	}
+	return Progress{Observed: sum.Requests + sum.Abandoned.sum(), Failures: sum.Failures, Running: sum.Running.sum() > 0}
+}
+
+// trimBuckets returns a copy without the empty buckets at the end.
+func trimBuckets(buckets []uint64) []uint64 {
 	last := 0
-	for i, n := range t.Latency {
+	for i, n := range buckets {
 		if n > 0 {
 			last = i + 1
 		}
 	}
-	latency := make([]uint64, last)
-	copy(latency, t.Latency)
-	return &wire.RouteTotals{Version: t.Version, Route: t.Route, Requests: t.Requests, Failures: t.Failures, Latency: latency}
+	return slices.Clone(buckets[:last])
 }
 
 // Counts holds the outcomes of one version on one route over a window.
 type Counts struct {
 	// Requests includes the failures and the requests without a counted latency.
-	Requests uint64                 `json:"requests"`
-	Failures uint64                 `json:"failures"`
-	Latency  [latencyBuckets]uint64 `json:"latency"`
+	Requests uint64    `json:"requests"`
+	Failures uint64    `json:"failures"`
+	Latency  histogram `json:"latency"`
+	// Abandoned counts requests whose outcome will never be known, and Running
+	// those that run at the end of the window, by the time that they took so far.
+	Abandoned histogram `json:"abandoned"`
+	Running   histogram `json:"running"`
+}
+
+// histogram counts requests by latency bucket.
+type histogram [latencyBuckets]uint64
+
+func (h *histogram) add(counts []uint64) {
+	for i, n := range counts[:min(len(counts), latencyBuckets)] {
+		h[i] += n
+	}
+}
+
+func (h *histogram) minus(earlier histogram) histogram {
+	var grown histogram
+	for i := range h {
+		grown[i] = growth(h[i], earlier[i])
+	}
+	return grown
+}
+
+// sum returns the number of requests in all buckets.
+func (h *histogram) sum() uint64 { return h.above(-1) }
+
+// above returns the number of requests in the buckets above the given one.
+func (h *histogram) above(bucket int) uint64 {
+	n := uint64(0)
+	for _, count := range h[bucket+1:] {
+		n += count
+	}
+	return n
 }
 
 func (c *Counts) add(t *wire.RouteTotals) {
 	c.Requests += t.GetRequests()
 	c.Failures += t.GetFailures()
-	for i, n := range t.GetLatency() {
-		if i < latencyBuckets {
-			c.Latency[i] += n
-		}
-	}
+	c.Latency.add(t.GetLatency())
+	c.Abandoned.add(t.GetAbandoned())
+	c.Running.add(t.GetRunning())
 }
 
 // minus returns the growth of c since an earlier snapshot. A restart of a node
@@ -124,9 +264,8 @@
 func (c Counts) minus(earlier Counts) Counts {
 	c.Requests = growth(c.Requests, earlier.Requests)
 	c.Failures = min(growth(c.Failures, earlier.Failures), c.Requests)
-	for i := range c.Latency {
-		c.Latency[i] = growth(c.Latency[i], earlier.Latency[i])
-	}
+	c.Latency = c.Latency.minus(earlier.Latency)
+	c.Abandoned = c.Abandoned.minus(earlier.Abandoned)
 	return c
 }
 
@@ -140,30 +279,26 @@
 func (c *Counts) plus(other Counts) {
 	c.Requests += other.Requests
 	c.Failures += other.Failures
-	for i := range c.Latency {
-		c.Latency[i] += other.Latency[i]
-	}
+	c.Latency.add(other.Latency[:])
+	c.Abandoned.add(other.Abandoned[:])
+	c.Running.add(other.Running[:])
 }
 
-// slowerThan returns the number of requests that took longer than the upper
-// limit of a bucket.
+// slowerThan returns the number of requests that took, or have taken so far, longer
+// than the upper limit of a bucket.
 func (c *Counts) slowerThan(bucket int) uint64 {
-	n := uint64(0)
-	for i := bucket + 1; i < latencyBuckets; i++ {
-		n += c.Latency[i]
-	}
-	return n
+	return c.Latency.above(bucket) + c.overdue(bucket)
 }
 
-// timedRequests returns the number of requests whose latency was counted.
-func (c *Counts) timedRequests() uint64 {
-	n := uint64(0)
-	for _, count := range c.Latency {
-		n += count
-	}
-	return n
+// overdue returns the number of requests without an answer that ran longer than the
+// upper limit of a bucket.
+func (c *Counts) overdue(bucket int) uint64 {
+	return c.Abandoned.above(bucket) + c.Running.above(bucket)
 }
 
+// timedRequests returns the number of requests whose latency was counted.
+func (c *Counts) timedRequests() uint64 { return c.Latency.sum() }
+
 // quantileBucket returns the bucket that holds the given latency quantile, a
 // number from 0 to 1.
 func (c *Counts) quantileBucket(quantile float64) int {
@@ -238,3 +373,14 @@
 	}
 	return window
 }
+
+// withoutRunning returns a copy without the requests that run at the end of the
+// window. They belong to the next window as well.
+func (w Window) withoutRunning() Window {
+	ended := make(Window, len(w))
+	for route, sides := range w {
+		sides.Old.Running, sides.New.Running = histogram{}, histogram{}
+		ended[route] = sides
+	}
+	return ended
+}
--- a/pkg/rollout/history.go
+++ b/pkg/rollout/history.go
@@ -72,7 +72,7 @@
 		return
 	}
 	if !h.since.IsZero() {
-		h.past = append(h.past, h.window(longWindow))
+		h.past = append(h.past, h.window(longWindow).withoutRunning())
 		h.past = h.past[max(0, len(h.past)-maxPastStages):]
 	}
 	h.since = since
