Find slow versions whose callers wait for little longer than usual requests take

Callers saw: a version that is eight times slower for a fifth of its requests is never found by latency; the findings that there were came from failures.

Two margins are compared now, 1.4 and 2, against at least 2 %. Hosts differ in speed, so the rate to expect is the old version's with its latencies raised by the difference of the medians, up to a factor of two: this is what the 5 % had covered.

Ruled out: one margin of 1.4 alone, which rolls back all good versions on hosts half as fast with even work (trial).

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -88,7 +88,7 @@
 		{OrderSeen, "The operators ordered the move of a service to a version.", "service, version, revision, duration_ms"},
 		{OrderRefused, "An order was invalid.", "key, error"},
 		{ShareChanged, "The share of a version under an order changed on this node.", "service, version, permille, state, cause, steward, epoch, step"},
-		{VersionsCompared, "The figures by which the leader compared the versions for one cause over all routes, when the share changed: events are failed or slow requests.", "service, version, permille, cause, new_events, new_trials, old_events, old_trials, expected, chance, old_median_ms, old_p90_ms, new_median_ms, new_p90_ms"},
+		{VersionsCompared, "The figures by which the leader compared the versions for one cause over all routes, when the share changed: events are failed or slow requests.", "service, version, permille, cause, slow_factor, new_events, new_trials, old_events, old_trials, expected, chance, old_median_ms, old_p90_ms, new_median_ms, new_p90_ms"},
 		{VersionRolledBack, "The leader found a version worse than the previous one and rolled it back.", "service, version, cause"},
 		{StatusWritten, "The state of an order was written for the operators.", "service, version, state, revision, cause"},
 		{StatusFailed, "The status of an order cannot be encoded.", "error"},
--- a/pkg/node/store_shares.go
+++ b/pkg/node/store_shares.go
@@ -84,7 +84,7 @@
 	oldVersion, newVersion := evaluator.LatencyQuantiles()
 	for _, c := range evaluator.Comparisons() {
 		r.Event(event.VersionsCompared).WithFields(logrus.Fields{
-			"service": t.order.Service, "version": t.order.Version, "permille": evaluator.State().Permille, "cause": c.Cause,
+			"service": t.order.Service, "version": t.order.Version, "permille": evaluator.State().Permille, "cause": c.Cause, "slow_factor": c.SlowFactor,
 			"new_events": c.NewEvents, "new_trials": c.NewTrials, "old_events": c.OldEvents, "old_trials": c.OldTrials,
 			"expected": c.Expected, "chance": c.Chance,
 			"old_median_ms": oldVersion.Median.Milliseconds(), "old_p90_ms": oldVersion.P90.Milliseconds(),
--- a/pkg/rollout/comparison.go
+++ b/pkg/rollout/comparison.go
@@ -26,17 +26,22 @@
 	// minTimedRequests is the number of latencies of the old version that a
 	// comparison of latencies needs.
 	minTimedRequests = 10
-	// A request is slow when it took over twice the slowQuantile of the old
-	// version: slowMarginBuckets is a factor of two. A quantile below the bucket
+	// A request is slow when it took longer than the slowQuantile of the old version
+	// by a margin. Two margins are compared: callers that wait for little longer than
+	// the larger one leave too few requests beyond it. A quantile below the bucket
 	// minQuantileBucket, which ends at 1.4 ms, is raised to it.
-	slowQuantile      = 0.9
-	slowMarginBuckets = bucketsPerDoubling
-	minQuantileBucket = 5
+	slowQuantile       = 0.9
+	smallMarginBuckets = bucketsPerDoubling / 2
+	largeMarginBuckets = bucketsPerDoubling
+	minQuantileBucket  = 5
+	// maxHostShift is by how much the requests of a good version may be slower
+	// because its hosts are: a factor of two.
+	maxHostShift = bucketsPerDoubling
 	// Lower rates of the old version are raised to these, so that one stray event
 	// on the new version is not significant after many requests without any event
 	// on the old one.
 	minFailureRate = 0.0005
-	minSlowRate    = 0.05
+	minSlowRate    = 0.02
 	// priorEvents is the number of events, and of trials without an event, that
 	// the prior adds to those of the old version.
 	priorEvents = 0.5
@@ -61,6 +66,8 @@
 type tally struct {
 	oldEvents, oldTrials uint64
 	newEvents, newTrials uint64
+	// minRate is a lower bound of the rate to expect on the new version, or 0.
+	minRate float64
 }
 
 // criterion is one kind of event by which the versions are compared.
@@ -70,6 +77,9 @@
 	// rate of events on the old one.
 	minEvents uint64
 	minRate   float64
+	// slowFactor is how many times the slowQuantile of the old version a slow
+	// request takes at least, or 0 when latency does not matter.
+	slowFactor float64
 	// count returns the tally of one route, or false when the old version has too
 	// few requests to compare with.
 	count    func(VersionCounts) (tally, bool)
@@ -84,13 +94,21 @@
 			return fmt.Sprintf("%d of %d requests failed, against %d of %d on the old version", t.newEvents, t.newTrials, t.oldEvents, t.oldTrials)
 		},
 	},
-	{
-		cause: "latency", minEvents: minSlow, minRate: minSlowRate,
-		count: countSlow,
+	latencyCriterion(smallMarginBuckets),
+	latencyCriterion(largeMarginBuckets),
+}
+
+// latencyCriterion compares the requests that took longer than the old version's
+// slowQuantile by a margin.
+func latencyCriterion(margin int) criterion {
+	factor := float64(BucketLimit(margin)) / float64(BucketLimit(0))
+	return criterion{
+		cause: "latency", minEvents: minSlow, minRate: minSlowRate, slowFactor: factor,
+		count: func(s VersionCounts) (tally, bool) { return countSlow(s, margin) },
 		describe: func(t tally) string {
-			return fmt.Sprintf("%d of %d requests took over twice the old version's time, against %d of %d there", t.newEvents, t.newTrials, t.oldEvents, t.oldTrials)
+			return fmt.Sprintf("%d of %d requests took over %.1f times as long as nine in ten on the old version, against %d of %d there", t.newEvents, t.newTrials, factor, t.oldEvents, t.oldTrials)
 		},
-	},
+	}
 }
 
 // Window holds the outcomes of both versions by route over a period in which the
@@ -112,6 +130,9 @@
 // over all routes.
 type Comparison struct {
 	Cause string
+	// SlowFactor is how many times as long as nine in ten requests of the old version
+	// a slow request takes at least, or 0 when latency does not matter.
+	SlowFactor float64
 	// Events are failed or slow requests, Trials the requests that could have
 	// been. Windows without enough requests on the old version are left out.
 	NewEvents, NewTrials uint64
@@ -148,7 +169,7 @@
 	for _, c := range criteria {
 		_, all := c.sum(windows)
 		comparisons = append(comparisons, Comparison{
-			Cause:     c.cause,
+			Cause: c.cause, SlowFactor: c.slowFactor,
 			NewEvents: all.newEvents, NewTrials: all.newTrials,
 			OldEvents: all.oldEvents, OldTrials: all.oldTrials,
 			Expected: all.expected, Chance: all.chance(),
@@ -218,7 +239,7 @@
 // rate estimates the old version's rate of events. The prior is priorEvents
 // events and as many trials without an event.
 func (c criterion) rate(t tally) float64 {
-	return max((float64(t.oldEvents)+priorEvents)/(float64(t.oldTrials)+2*priorEvents), c.minRate)
+	return max((float64(t.oldEvents)+priorEvents)/(float64(t.oldTrials)+2*priorEvents), c.minRate, t.minRate)
 }
 
 // isWorse reports whether the new version would have this many events with a
@@ -248,20 +269,25 @@
 	return t, t.oldTrials > 0
 }
 
-// countSlow counts the requests that took over twice the old version's
-// slowQuantile, including those that have run as long without an answer. Trials are
-// these and the other requests with a counted latency.
-func countSlow(s VersionCounts) (tally, bool) {
+// countSlow counts the requests slower than the old version's slowQuantile by a
+// margin, including those that have run as long without an answer. Trials are these
+// and the other requests with a counted latency. Hosts differ in speed: as many
+// requests are expected to be slow as would be on the old version if its hosts were
+// slower by the difference of the medians, but by at most maxHostShift.
+func countSlow(s VersionCounts, margin int) (tally, bool) {
 	if s.Old.timedRequests() < minTimedRequests {
 		return tally{}, false
 	}
-	limit := max(s.Old.quantileBucket(slowQuantile), minQuantileBucket) + slowMarginBuckets
-	return tally{
+	limit := max(s.Old.quantileBucket(slowQuantile), minQuantileBucket) + margin
+	t := tally{
 		oldEvents: s.Old.slowerThan(limit),
 		oldTrials: s.Old.timedRequests() + s.Old.overdue(limit),
 		newEvents: s.New.slowerThan(limit),
 		newTrials: s.New.timedRequests() + s.New.overdue(limit),
-	}, true
+	}
+	shift := min(max(s.New.medianPosition()-s.Old.medianPosition(), 0), maxHostShift)
+	t.minRate = s.Old.slowerThanFraction(float64(limit)-shift) / float64(t.oldTrials)
+	return t, true
 }
 
 // betaBinomialTail returns the probability of k or more events in n trials
--- a/pkg/rollout/comparison_test.go
+++ b/pkg/rollout/comparison_test.go
@@ -15,6 +15,16 @@
 	return c
 }
 
+// latencies returns outcomes without failures, the given number of requests for each
+// latency in milliseconds.
+func latencies(each uint64, millis ...int) Counts {
+	c := Counts{Requests: each * uint64(len(millis))}
+	for _, ms := range millis {
+		c.Latency[LatencyBucket(time.Duration(ms)*time.Millisecond)] += each
+	}
+	return c
+}
+
 // TestCompare guards against a worse version that is not found, and against a
 // finding for a version that is not worse, above all when both versions fail alike.
 func TestCompare(t *testing.T) {
@@ -44,9 +54,15 @@
 			{"a": {counts(950, 0, 0), counts(50, 0, 0)}},
 			{"a": {counts(500, 100, 0), counts(500, 100, 0)}},
 		}},
-		"new version slow":    {windows: []Window{{"a": {counts(500, 0, 0), counts(10, 0, 8)}}}, cause: "latency", route: "a"},
-		"both versions slow":  {windows: []Window{{"a": {counts(500, 0, 250), counts(20, 0, 12)}}}},
-		"a few slow requests": {windows: []Window{{"a": {counts(500, 0, 5), counts(100, 0, 3)}}}},
+		"some requests slow, callers wait for a second": {windows: []Window{{"a": {
+			latencies(100, 70, 100, 140, 140, 200, 200, 280, 390, 500, 700),
+			latencies(8, 70, 100, 140, 140, 200, 280, 390, 700, 800, 1000),
+		}}}, cause: "latency", route: "a"},
+		"hosts half as fast":      {windows: []Window{{"a": {latencies(500, 95, 100, 105), latencies(30, 190, 200, 210)}}}},
+		"hosts four times slower": {windows: []Window{{"a": {latencies(500, 95, 100, 105), latencies(30, 380, 400, 420)}}}, cause: "latency", route: "a"},
+		"new version slow":        {windows: []Window{{"a": {counts(500, 0, 0), counts(10, 0, 8)}}}, cause: "latency", route: "a"},
+		"both versions slow":      {windows: []Window{{"a": {counts(500, 0, 250), counts(20, 0, 12)}}}},
+		"a few slow requests":     {windows: []Window{{"a": {counts(500, 0, 5), counts(100, 0, 3)}}}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -296,9 +296,31 @@
 	return c.Abandoned.above(bucket) + c.Running.above(bucket)
 }
 
+// slowerThanFraction is slowerThan for a limit between two buckets: of the requests in the
+// bucket that holds it, a part counts.
+func (c *Counts) slowerThanFraction(limit float64) float64 {
+	bucket := int(math.Ceil(limit))
+	below := float64(bucket) - limit
+	inBucket := c.slowerThan(bucket-1) - c.slowerThan(bucket)
+	return float64(c.slowerThan(bucket)) + below*float64(inBucket)
+}
+
 // timedRequests returns the number of requests whose latency was counted.
 func (c *Counts) timedRequests() uint64 { return c.Latency.sum() }
 
+// medianPosition returns the median latency as a position in the histogram: 2.5 is
+// in the middle of bucket 3.
+func (c *Counts) medianPosition() float64 {
+	half, n := float64(c.timedRequests())/2, 0.0
+	for bucket, count := range c.Latency {
+		if count > 0 && n+float64(count) >= half {
+			return float64(bucket-1) + (half-n)/float64(count)
+		}
+		n += float64(count)
+	}
+	return 0
+}
+
 // quantileBucket returns the bucket that holds the given latency quantile, a
 // number from 0 to 1.
 func (c *Counts) quantileBucket(quantile float64) int {
