Keep to the shares of versions when the old one is overloaded

Callers would see: while the old version has no room, the requests that it refuses go to the new one whatever its share, also when that is bad. Cause: a request picked a version again for each attempt, and skipped one whose backend servers it had all tried; with the old version full the new one at 4 % answered all of the requests.

What a version refused for overload stays with it, or goes to one with a larger share. One that leaves or has no backend server is still replaced by any other. TestOverloadKeepsShares: 4 of 100 requests on the new version, 100 of 100 before.

--- a/pkg/request/call.go
+++ b/pkg/request/call.go
@@ -37,6 +37,9 @@
 	// excludedVersions holds the versions that an owner node refused as halted or
 	// failing. Further attempts do not use them.
 	excludedVersions []string
+	// overloadedVersions holds the versions of which a backend server refused the
+	// request for overload.
+	overloadedVersions []string
 	// crashes counts the attempts during which the backend server crashed.
 	crashes int
 	// probes counts the refusals as busy, given because the wait for a slot was
--- a/pkg/request/entry.go
+++ b/pkg/request/entry.go
@@ -290,6 +290,8 @@
 	switch refusal.Reason() {
 	case verdict.VersionHalted, verdict.BackendFailing:
 		c.excludedVersions = append(c.excludedVersions, version)
+	case verdict.QueueFull, verdict.DeadlineTooNear, verdict.Overloaded, verdict.BackendShed:
+		c.overloadedVersions = append(c.overloadedVersions, version)
 	case verdict.PeerUnreachable, verdict.PeerSilent:
 		e.picker.RecordUnreachable(endpoint)
 	}
@@ -298,12 +300,17 @@
 
 // chooseEndpoint picks a version by its share of the traffic and a backend
 // server of that version. Versions without a backend server are skipped; the
-// standby version is used when no other is left.
+// standby version is used when no other is left. What the backend servers of a
+// version refused for overload does not go to a version with a smaller share, or
+// that one would get more than its share.
 func (e *Entry) chooseEndpoint(c *call) (routing.Choice, string, bool) {
 	name := c.request.GetService()
 	need := routing.Need{Service: name, Kind: c.route.Name, Priority: c.route.Priority, Objective: c.route.Objective(), Remaining: c.objective.Sub(e.Now()), Usual: c.route.AssumedWork(), Kilobytes: e.answerSizes.callKilobytes(c.route.Name)}
 	shares := e.hooks.Shares(c.table, name)
 	excludedVersions := slices.Clone(c.excludedVersions)
+	for _, version := range c.overloadedVersions {
+		excludedVersions = append(excludedVersions, shares.NotAbove(version)...)
+	}
 	for {
 		need.Version = e.chooseVersion(c, shares, excludedVersions)
 		if need.Version == "" {
--- a/pkg/request/entry_test.go
+++ b/pkg/request/entry_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -35,15 +36,21 @@
 // and a counter of the attempts. Each attempt gets the next reply; the last reply
 // is repeated.
 func newTestEntry(t *testing.T, servers int, replies []reply) (*Entry, *int) {
+	t.Helper()
+	return newTestEntryOf(t, slices.Repeat([]string{"v1"}, servers), replies)
+}
+
+// newTestEntryOf is newTestEntry with a backend server of each of the versions.
+func newTestEntryOf(t *testing.T, versions []string, replies []reply) (*Entry, *int) {
 	t.Helper()
 	cm := common.New()
 	store := gossip.New()
 	members := fleet.NewMembers(cm, store, &wire.Member{Node: "self", DataCentre: "plateau"})
 	endpoints := fleet.NewEndpoints(store, members)
-	for i := range servers {
+	for i, version := range versions {
 		node := fmt.Sprintf("n%d", i)
 		store.Set(&wire.Record{Key: gossip.PrefixMember + node, Epoch: 1, Body: &wire.Record_Member{Member: &wire.Member{Node: node, DataCentre: "plateau", Address: node}}})
-		store.Set(&wire.Record{Key: fleet.EndpointKey(node, "i"), Epoch: 1, Body: &wire.Record_Endpoint{Endpoint: &wire.Endpoint{Node: node, Instance: "i", Service: "s", Version: "v1", DataCentre: "plateau", Slots: 4}}})
+		store.Set(&wire.Record{Key: fleet.EndpointKey(node, "i"), Epoch: 1, Body: &wire.Record_Endpoint{Endpoint: &wire.Endpoint{Node: node, Instance: "i", Service: "s", Version: version, DataCentre: "plateau", Slots: 4}}})
 	}
 	document, err := bundle.Open(&wire.SignedRelease{Body: []byte("\x08\x01\x1a\x20" + strings.Repeat("0", 32))})
 	if err != nil {
@@ -130,6 +137,51 @@
 	}
 }
 
+// TestOverloadKeepsShares guards against a new version that gets more than its share
+// of the requests, because it also gets those for which the old one has no room.
+func TestOverloadKeepsShares(t *testing.T) {
+	const requests = 100
+	tests := map[string]struct {
+		versions []string
+		reason   verdict.Reason
+		// wantOnNew is the number of requests answered by the new version.
+		wantOnNew int
+	}{
+		"queues of the old version full":           {[]string{"v1", "v1", "v2"}, verdict.QueueFull, 4},
+		"old version has no time for the requests": {[]string{"v1", "v1", "v2"}, verdict.DeadlineTooNear, 4},
+		"old version sheds":                        {[]string{"v1", "v1", "v2"}, verdict.BackendShed, 4},
+		"old version is leaving":                   {[]string{"v1", "v1", "v2"}, verdict.Draining, requests},
+		"no backend server of the old version":     {[]string{"v2"}, verdict.QueueFull, requests},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e, _ := newTestEntryOf(t, test.versions, nil)
+			onNew := 0
+			e.hooks.Shares = func(*routing.Table, string) routing.Shares { return routing.Shares{"v1": 960, "v2": 40} }
+			e.hooks.CallPeer = func(_ context.Context, _ string, in *wire.CallRequest, received func(*wire.CallAnswer) error) error {
+				if in.GetVersion() == "v1" {
+					return reply{verdict: verdict.NotRun, reason: test.reason}.respond(received)
+				}
+				onNew++
+				return answered.respond(received)
+			}
+			sendWithBudget(e, requests)
+			if onNew != test.wantOnNew {
+				t.Errorf("the new version answered %d of %d requests, want %d", onNew, requests, test.wantOnNew)
+			}
+		})
+	}
+}
+
+// sendWithBudget sends requests of which each may be retried.
+func sendWithBudget(e *Entry, requests int) {
+	const retryPercent = 400
+	for range requests {
+		e.budget.Earn("s", retryPercent)
+		e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/x", nil))
+	}
+}
+
 // TestRetryBudget guards against retries beyond the budget when every attempt is
 // refused, as in an overload of the whole service.
 func TestRetryBudget(t *testing.T) {
--- a/pkg/routing/pick.go
+++ b/pkg/routing/pick.go
@@ -48,6 +48,17 @@
 	return alternatives
 }
 
+// NotAbove returns the other versions whose share is not above that of a version.
+func (s Shares) NotAbove(version string) []string {
+	var others []string
+	for other, permille := range s {
+		if other != version && permille <= s[version] {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
 // compareNames orders distinct names; it never returns 0.
 func compareNames(a, b string) int {
 	if a < b {
