Compare more requests before all traffic moves to a new version

Callers saw: a slow version passes after 83 to 108 requests on it, of the 338 that the exposure bound allows. Cause: the canary was fixed at 4 % and the last steps lasted 0.9 and 0.6 s, so that requests which take up to 1 s had not ended when the next step was decided; to make up for it a chance of 1 in 100 counted as a finding in each look of the last steps, which rolled good versions back.

The canary follows the bound: six tenths of its share, after six tenths of its slack at the full share; requests that run or were late count as received. The last steps last 1 s each before the full share. Levels: 1e-4 before the last steps (3e-4), 5e-3 in them (1e-2).

--- a/pkg/rollout/bounded.go
+++ b/pkg/rollout/bounded.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
@@ -13,32 +14,32 @@
 // late, and then raises the share in a few short steps. A step that shows a
 // fault uses up little of the exposure bound.
 const (
-	// The default exposure bound is a tenth of all requests. canaryPermille keeps
-	// more than half of it in reserve for the steps at the end.
-	canaryPermille = 40
-	// initialPermille is the share until the new version has had initialRequests
-	// requests, which are enough to find a fault that every request shows.
-	initialPermille = 100
-	initialRequests = 16
-	// minCanaryPermille is the share once the canary has used up its part of the
-	// exposure bound.
+	// canaryFraction is the part of the exposure bound that the canary uses: a
+	// fraction of its share all the time, and of its slack at the beginning.
+	canaryFraction = 0.6
+	// maxCanaryFraction is the part from which the canary gets minCanaryPermille, as
+	// it may when the number of requests falls. The rest is for the steps at the end.
+	maxCanaryFraction = 0.7
 	minCanaryPermille = 10
-	// maxCanaryFraction bounds the part of the exposure bound that the canary may use.
-	maxCanaryFraction = 0.5
+	// rampSignificance is the maximum probability of a false alarm in one test
+	// while the share is raised before the deadline. All traffic must not move to a
+	// version that looks bad.
+	rampSignificance = 5e-3
 	// completionLead is the time before the deadline at which the move is declared
 	// done, so that the report reaches the operators in time.
 	completionLead = 700 * time.Millisecond
 )
 
 // ramp lists the steps at the end of a move: the time to the deadline at which
-// a step begins, and its share.
+// a step begins, and its share. A step lasts long enough for its slow requests to
+// be found before the next one.
 var ramp = []struct {
 	before   time.Duration
 	permille int
 }{
 	{1500 * time.Millisecond, bundle.FullPermille},
-	{2100 * time.Millisecond, 500},
-	{3 * time.Second, 200},
+	{2500 * time.Millisecond, 500},
+	{3500 * time.Millisecond, 200},
 }
 
 // Bounds is the exposure bound: during a move, a bad version may receive at most
@@ -80,13 +81,11 @@
 	return s.withShare(in, canaryShare(in), "canary"), nil
 }
 
-// findBoundedRegression compares the versions. While the share is raised before
-// the deadline, a difference at suspicionLevel is enough for a finding: all
-// traffic must not move to a version that looks bad.
+// findBoundedRegression compares the versions.
 func findBoundedRegression(s State, in BoundedInput) *Finding {
 	level := boundedSignificance
 	if rampShare(in) > 0 && s.Permille < bundle.FullPermille {
-		level = suspicionLevel
+		level = rampSignificance
 	}
 	if finding := compareAt(level, []Window{in.Short}); finding != nil {
 		return finding
@@ -110,22 +109,28 @@
 // new version within the canary's part of the exposure bound.
 func canaryShare(in BoundedInput) int {
 	total, onNew := countRequests(in.Stages)
-	bound := maxCanaryFraction * (in.Bounds.Share*float64(total) + in.Bounds.Slack)
 	switch {
-	case float64(onNew) >= bound:
+	case float64(onNew) >= maxCanaryFraction*(in.Bounds.Share*float64(total)+in.Bounds.Slack):
 		return minCanaryPermille
-	case onNew < initialRequests:
-		return initialPermille
+	case float64(onNew) < canaryFraction*in.Bounds.Slack:
+		return permilleOf(in.Bounds.Share)
 	}
-	return canaryPermille
+	return permilleOf(canaryFraction * in.Bounds.Share)
 }
 
-// countRequests returns the requests on both versions and those on the new one.
+// permilleOf returns a share as one that nodes can follow, which is at least
+// minCanaryPermille.
+func permilleOf(share float64) int {
+	permille := int(math.Round(share * bundle.FullPermille))
+	return min(max(permille, minCanaryPermille), bundle.FullPermille)
+}
+
+// countRequests returns the requests that both versions and the new one received.
 func countRequests(windows []Window) (total, onNew uint64) {
 	for _, window := range windows {
 		for _, sides := range window {
-			total += sides.Old.ended() + sides.New.ended()
-			onNew += sides.New.ended()
+			total += sides.Old.received() + sides.New.received()
+			onNew += sides.New.received()
 		}
 	}
 	return total, onNew
--- a/pkg/rollout/comparison.go
+++ b/pkg/rollout/comparison.go
@@ -15,7 +15,7 @@
 	significance = 3e-5
 	// boundedSignificance is the same for a move under an exposure bound. It is
 	// higher because breaking the bound costs more than rolling back a good version.
-	boundedSignificance = 3e-4
+	boundedSignificance = 1e-4
 	// suspicionLevel is the probability of a false alarm below which the share is
 	// not raised further.
 	suspicionLevel = 0.01
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -247,8 +247,11 @@
 	Late uint64 `json:"late"`
 }
 
-// ended returns the number of requests that the version answered or failed.
-func (c *Counts) ended() uint64 { return c.Requests + c.Late }
+// received returns the number of requests that the version has received, as far as
+// they are known.
+func (c *Counts) received() uint64 {
+	return c.Requests + c.Late + c.Abandoned.sum() + c.Running.sum()
+}
 
 // histogram counts requests by latency bucket.
 type histogram [latencyBuckets]uint64
