Compare a version that has all traffic with the old one's past

Callers would see: a version that fails only under the full load is declared done, and the old one stops. Cause: at the full share no request is left on the old version, and a window without requests of both versions is left out of the comparison.

At the full share the last seconds of the new version are compared with the old one's outcomes of all stages, as after a completed move of signed releases. The two sides come from different times, so a fault that both would show and that begins in the last 1.5 s rolls a good version back; one declared done cannot be rolled back at all.

--- a/pkg/rollout/bounded.go
+++ b/pkg/rollout/bounded.go
@@ -87,7 +87,12 @@
 	if rampShare(in) > 0 && s.Permille < bundle.FullPermille {
 		level = rampSignificance
 	}
-	if finding := compareAt(level, []Window{in.Short}); finding != nil {
+	short := in.Short
+	if s.Permille == bundle.FullPermille {
+		// No request is left on the old version to compare with.
+		short = windowAgainstPast(in.Short, in.Stages)
+	}
+	if finding := compareAt(level, []Window{short}); finding != nil {
 		return finding
 	}
 	return compareAt(level, in.Stages)
--- a/pkg/rollout/bounded_test.go
+++ b/pkg/rollout/bounded_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
@@ -191,7 +192,7 @@
 		"half of the requests eight times slower":               func(w *workload) { w.fault = slows(0.5, 8) },
 		"half of the requests slower in the second half":        func(w *workload) { w.fault = inSecondHalf(slows(0.5, 8)) },
 		"a tenth of the requests fail":                          func(w *workload) { w.fault = fails(0.1) },
-		"half of the requests fail at a share of 20 % and more": func(w *workload) { w.fault = underLoad(fails(0.5)) },
+		"half of the requests fail at a share of 20 % and more": func(w *workload) { w.fault = underLoad(200, fails(0.5)) },
 	}
 }
 
@@ -205,10 +206,10 @@
 	}
 }
 
-// underLoad restricts a fault to shares of 20 % and more.
-func underLoad(fault func(*boundedSimulation) (bool, float64)) func(*boundedSimulation) (bool, float64) {
+// underLoad restricts a fault to shares of at least the given permille.
+func underLoad(permille int, fault func(*boundedSimulation) (bool, float64)) func(*boundedSimulation) (bool, float64) {
 	return func(s *boundedSimulation) (bool, float64) {
-		if s.evaluator.State().Permille < 200 {
+		if s.evaluator.State().Permille < permille {
 			return false, 1
 		}
 		return fault(s)
@@ -223,6 +224,18 @@
 	}
 }
 
+// TestFaultAtFullShareIsFound guards against a bad version that is declared done
+// because no request is left on the old version to compare with. The exposure bound
+// is used up by then.
+func TestFaultAtFullShareIsFound(t *testing.T) {
+	for seed := range uint64(simulatedMoves) {
+		s := simulate(func(w *workload) { w.fault = underLoad(bundle.FullPermille, fails(0.3)) }, seed)
+		if s.finding == nil {
+			t.Errorf("seed %d: got no finding, state %v", seed, s.evaluator.State().Phase)
+		}
+	}
+}
+
 // TestHalfFourTimesSlowerIsFound guards against a bad version whose slow requests
 // look like those of a slower host.
 func TestHalfFourTimesSlowerIsFound(t *testing.T) {
--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -117,7 +117,7 @@
 		if in.OldServers == 0 {
 			return nil
 		}
-		return Compare(windowAgainstPast(in))
+		return Compare(windowAgainstPast(in.Short, in.Stages))
 	}
 	if finding := Compare(in.Short); finding != nil {
 		return finding
@@ -126,14 +126,14 @@
 }
 
 // windowAgainstPast pairs the last seconds of the new version with the old
-// version's outcomes of all stages. It serves a completed move, where the old
-// version has no traffic to compare with. The two sides come from different
-// times, so a worse result starts a recheck and never rolls the version back.
-func windowAgainstPast(in Input) Window {
-	window := make(Window, len(in.Short))
-	for route, sides := range in.Short {
+// version's outcomes of all stages. It serves a move whose old version has no
+// traffic to compare with. The two sides come from different times, so where there
+// is time for it, a worse result starts a recheck and does not roll the version back.
+func windowAgainstPast(short Window, stages []Window) Window {
+	window := make(Window, len(short))
+	for route, sides := range short {
 		compared := VersionCounts{New: sides.New}
-		for _, stage := range in.Stages {
+		for _, stage := range stages {
 			compared.Old.plus(stage[route].Old)
 		}
 		window[route] = compared
