Keep the evidence of nodes that joined, left or were restarted during a stage

Callers would see: a bad version passes although it failed requests, when its nodes are restarted by plan during the rollout or start after the first of them. A node that the first lacked was left out, as was one that the last lacked, and totals that a restart had reset counted as no growth until they were above the old ones.

The history sums the growth of each node's totals from one evidence to the next, and a window is the difference of the sums; lower totals are those of a restarted node and count whole. What a node had counted before its first evidence still does not count. TestHistoryKeepsEvidence: node joins 0 of 7 failures before, restarted 0 of 7, gone 0 of 4.

--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -247,11 +247,12 @@
 	Late uint64 `json:"late"`
 }
 
+// ended returns the number of requests that do not run any more.
+func (c *Counts) ended() uint64 { return c.Requests + c.Late + c.Abandoned.sum() }
+
 // received returns the number of requests that the version has received, as far as
 // they are known.
-func (c *Counts) received() uint64 {
-	return c.Requests + c.Late + c.Abandoned.sum() + c.Running.sum()
-}
+func (c *Counts) received() uint64 { return c.ended() + c.Running.sum() }
 
 // histogram counts requests by latency bucket.
 type histogram [latencyBuckets]uint64
@@ -291,8 +292,8 @@
 	c.Late += t.GetLate()
 }
 
-// minus returns the growth of c since an earlier snapshot. A restart of a node
-// resets its totals, so a total that is lower than before counts as no growth.
+// minus returns the growth of c since an earlier time. Of running requests it
+// returns those of c.
 func (c Counts) minus(earlier Counts) Counts {
 	c.Requests = growth(c.Requests, earlier.Requests)
 	c.Failures = min(growth(c.Failures, earlier.Failures), c.Requests)
@@ -379,25 +380,30 @@
 	New Counts `json:"new"`
 }
 
-// Snapshot holds the totals of each owner node at one time.
+// Snapshot holds the outcomes of both versions by route, as far as they were
+// observed until one time.
 type Snapshot struct {
-	At time.Time
-	// nodes holds the totals by node and route.
-	nodes map[string]map[string]VersionCounts
+	At     time.Time
+	routes Window
 }
 
-// NewSnapshot groups the evidence of all owner nodes by node and route. Totals
-// of the version "to" count as the new version's, all others as the old one's.
-func NewSnapshot(at time.Time, to string, evidence []*wire.Evidence) Snapshot {
-	s := Snapshot{At: at, nodes: make(map[string]map[string]VersionCounts, len(evidence))}
-	for _, e := range evidence {
-		s.nodes[e.GetNode()] = groupByRoute(to, e.GetTotals())
+// Since returns the growth by route since an earlier snapshot.
+func (s Snapshot) Since(earlier Snapshot) Window {
+	window := make(Window, len(s.routes))
+	for route, sides := range s.routes {
+		before := earlier.routes[route]
+		window[route] = VersionCounts{Old: sides.Old.minus(before.Old), New: sides.New.minus(before.New)}
 	}
-	return s
+	return window
 }
 
-func groupByRoute(to string, totals []*wire.RouteTotals) map[string]VersionCounts {
-	routes := make(map[string]VersionCounts)
+// nodeTotals holds the totals of one owner node by route.
+type nodeTotals map[string]VersionCounts
+
+// groupByRoute groups totals by route. Those of the version "to" count as the new
+// version's, all others as the old one's.
+func groupByRoute(to string, totals []*wire.RouteTotals) nodeTotals {
+	routes := make(nodeTotals)
 	for _, t := range totals {
 		sides := routes[t.GetRoute()]
 		if t.GetVersion() == to {
@@ -410,24 +416,16 @@
 	return routes
 }
 
-// Since returns the growth by route since an earlier snapshot. A node that the
-// earlier snapshot lacks is left out, because its totals may include requests
-// from long before that snapshot.
-func (s Snapshot) Since(earlier Snapshot) Window {
-	window := make(Window)
-	for node, routes := range s.nodes {
-		before, ok := earlier.nodes[node]
-		if !ok {
-			continue
-		}
-		for route, sides := range routes {
-			sum := window[route]
-			sum.Old.plus(sides.Old.minus(before[route].Old))
-			sum.New.plus(sides.New.minus(before[route].New))
-			window[route] = sum
+// isBefore reports whether the totals may have grown into the later ones. They have
+// not if the node was restarted in between, which resets its totals.
+func (n nodeTotals) isBefore(later nodeTotals) bool {
+	for route, sides := range n {
+		grown := later[route]
+		if grown.Old.ended() < sides.Old.ended() || grown.New.ended() < sides.New.ended() {
+			return false
 		}
 	}
-	return window
+	return true
 }
 
 // withoutRunning returns a copy without the requests that run at the end of the
--- a/pkg/rollout/history.go
+++ b/pkg/rollout/history.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -18,8 +19,12 @@
 // History keeps the recent snapshots of one move. The difference of two snapshots
 // is the window of outcomes between them. It is not safe for concurrent use.
 type History struct {
-	sequence  uint64
-	to        string
+	sequence uint64
+	to       string
+	// totals holds the newest totals of each node, grown the sum of their growth. What
+	// a node had counted before its first evidence is not in it.
+	totals    map[string]nodeTotals
+	grown     Window
 	snapshots []Snapshot
 	// since is the time of the last change of the share.
 	since time.Time
@@ -32,25 +37,45 @@
 
 // NewHistory returns an empty history of a move.
 func NewHistory(move *wire.Move) *History {
-	return &History{sequence: move.GetSequence(), to: move.GetTo()}
+	return &History{sequence: move.GetSequence(), to: move.GetTo(), totals: make(map[string]nodeTotals), grown: make(Window)}
 }
 
 // Add appends a snapshot made of the evidence for this move, and drops snapshots
 // that no window needs.
 func (h *History) Add(at time.Time, evidence []*wire.Evidence) {
-	var own []*wire.Evidence
+	h.grown = h.grown.withoutRunning()
 	for _, e := range evidence {
 		if e.GetSequence() == h.sequence {
-			own = append(own, e)
+			h.addTotals(e.GetNode(), groupByRoute(h.to, e.GetTotals()))
 		}
 	}
-	h.snapshots = append(h.snapshots, NewSnapshot(at, h.to, own))
+	h.snapshots = append(h.snapshots, Snapshot{At: at, routes: maps.Clone(h.grown)})
 	for len(h.snapshots) > 2 && at.Sub(h.snapshots[1].At) > longWindow {
 		h.snapshots = h.snapshots[1:]
 	}
 	h.thin(at)
 }
 
+// addTotals adds the growth of a node's totals since its last evidence.
+func (h *History) addTotals(node string, totals nodeTotals) {
+	before, known := h.totals[node]
+	h.totals[node] = totals
+	if !known {
+		before = totals
+	}
+	restarted := !before.isBefore(totals)
+	for route, sides := range totals {
+		base := before[route]
+		if restarted {
+			base = VersionCounts{}
+		}
+		sum := h.grown[route]
+		sum.Old.plus(sides.Old.minus(base.Old))
+		sum.New.plus(sides.New.minus(base.New))
+		h.grown[route] = sum
+	}
+}
+
 // thin drops at most one snapshot older than denseHistory, the first one whose
 // neighbours are at most sparseInterval apart.
 func (h *History) thin(at time.Time) {
--- /dev/null
+++ b/pkg/rollout/history_test.go
@@ -0,0 +1,43 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
+)
+
+// failed is the evidence of one node: failed requests on the new version.
+func failed(node string, requests uint64) *wire.Evidence {
+	return &wire.Evidence{Node: node, Sequence: 2, Totals: []*wire.RouteTotals{{Version: "v2", Route: "r", Requests: requests, Failures: requests}}}
+}
+
+// TestHistoryKeepsEvidence guards against failures that do not count against a version
+// because their node joined or was restarted during the stage.
+func TestHistoryKeepsEvidence(t *testing.T) {
+	tests := map[string]struct {
+		// evidence holds what is known at one time after the other; a stage begins
+		// after the first.
+		evidence [][]*wire.Evidence
+		want     uint64
+	}{
+		"before the first evidence": {[][]*wire.Evidence{{failed("a", 5)}, {failed("a", 5)}}, 0},
+		"node known from the start": {[][]*wire.Evidence{{failed("a", 5)}, {failed("a", 9)}}, 4},
+		"node joins":                {[][]*wire.Evidence{{failed("a", 0)}, {failed("a", 0), failed("b", 0)}, {failed("a", 0), failed("b", 7)}}, 7},
+		"node restarted":            {[][]*wire.Evidence{{failed("a", 5)}, {failed("a", 9)}, {failed("a", 2)}, {failed("a", 3)}}, 7},
+		"node gone":                 {[][]*wire.Evidence{{failed("a", 5)}, {failed("a", 9)}, {}}, 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := NewHistory(&wire.Move{To: "v2", Sequence: 2})
+			at := time.UnixMilli(1_700_000_000_000)
+			for i, evidence := range test.evidence {
+				h.Add(at.Add(time.Duration(i)*time.Second), evidence)
+				h.StartStage(at)
+			}
+			if got := h.Stage()["r"].New; got.Failures != test.want || got.Requests != test.want {
+				t.Errorf("got %d failures of %d requests, want %d", got.Failures, got.Requests, test.want)
+			}
+		})
+	}
+}
