Count outcomes in one stage of a move only

Callers would see a good version rolled back somewhat too often. Cause: a stage that ended was cut at the newest evidence, the one that began at the evidence before the change of the share, so that the requests in between counted in both: up to a tick of the old share's requests, and twice their weight in every comparison over stages.

The stage that ends is cut where the next one begins. Found when the evidence of a standby was compared with the leader's (549 requests on the new version against 490). TestStagesCountOnce: 50 requests of 40 before.

--- a/pkg/rollout/history.go
+++ b/pkg/rollout/history.go
@@ -96,12 +96,13 @@
 	if since.Equal(h.since) {
 		return
 	}
+	base := h.lastSnapshotAt(since)
 	if !h.since.IsZero() {
-		h.past = append(h.past, h.window(longWindow).withoutRunning())
+		h.past = append(h.past, h.windowUntil(base, longWindow).withoutRunning())
 		h.past = h.past[max(0, len(h.past)-maxPastStages):]
 	}
 	h.since = since
-	h.base = h.lastSnapshotAt(since)
+	h.base = base
 }
 
 // lastSnapshotAt returns the last snapshot not after a time, or the first
@@ -117,13 +118,17 @@
 	return found
 }
 
-// window returns the outcomes of the last length of time, cut off at the start
-// of the present stage: outcomes at different shares are not mixed.
+// window returns the outcomes of the last length of time at the present share.
 func (h *History) window(length time.Duration) Window {
 	if len(h.snapshots) == 0 {
 		return nil
 	}
-	last := h.snapshots[len(h.snapshots)-1]
+	return h.windowUntil(h.snapshots[len(h.snapshots)-1], length)
+}
+
+// windowUntil returns the outcomes of a length of time until a snapshot, cut off at
+// the start of the present stage: outcomes at different shares are not mixed.
+func (h *History) windowUntil(last Snapshot, length time.Duration) Window {
 	start := last.At.Add(-length)
 	if h.since.After(start) {
 		return last.Since(h.base)
--- a/pkg/rollout/history_test.go
+++ b/pkg/rollout/history_test.go
@@ -41,3 +41,23 @@
 		})
 	}
 }
+
+// TestStagesCountOnce guards against outcomes that count in the stage that ended as well
+// as in the one that began.
+func TestStagesCountOnce(t *testing.T) {
+	h := NewHistory(&wire.Move{To: "v2", Sequence: 2})
+	start := time.UnixMilli(1_700_000_000_000)
+	at := func(second int) time.Time { return start.Add(time.Duration(second) * time.Second) }
+	stageStarts := []int{0, 0, 0, 2, 2}
+	for second, stageStart := range stageStarts {
+		h.Add(at(second), []*wire.Evidence{failed("a", uint64(10*second))})
+		h.StartStage(at(stageStart))
+	}
+	total := uint64(0)
+	for _, stage := range h.Stages() {
+		total += stage["r"].New.Requests
+	}
+	if got, want := total, uint64(40); got != want {
+		t.Errorf("the stages hold %d requests, want %d", got, want)
+	}
+}
