Let the successor of a leader keep the evidence about a move

Cause: only the leader kept the evidence, so that its successor compared the versions from its election on; and it took the new version for one without requests and raised its share to 10 % once more.

The first three nodes in the order of succession keep the evidence of an open order, and the exposure counts what all nodes have counted on the new version. Nothing is decided differently under one leader. TestStandbyKeepsEvidence and TestNewLeaderKeepsEvidence fail without it (0 of 0 requests known, want 5 failures of 50). A successor beyond the first three still starts without the evidence.

--- a/pkg/node/store_rollouts.go
+++ b/pkg/node/store_rollouts.go
@@ -31,6 +31,9 @@
 	// candidacyInterval apart.
 	leaderSilenceTimeout = 1500 * time.Millisecond
 	candidacyInterval    = 200 * time.Millisecond
+	// maxStandbyRank is the highest rank of the nodes that keep the evidence about an
+	// order while another node leads.
+	maxStandbyRank = 2
 	// leaderRecordInterval is the time after which the leader publishes its
 	// decision on an order again although it has not changed.
 	leaderRecordInterval = 500 * time.Millisecond
@@ -273,8 +276,11 @@
 		open := r.openOrders()
 		for _, t := range open {
 			r.sendEvidence(ctx, t)
-			if r.leadership.isHeld() {
+			switch {
+			case r.leadership.isHeld():
 				r.decideShare(t)
+			case r.isStandby(t.order.Service):
+				r.followEvidence(t)
 			}
 		}
 	}
--- a/pkg/node/store_rollouts_test.go
+++ b/pkg/node/store_rollouts_test.go
@@ -156,3 +156,32 @@
 		})
 	}
 }
+
+// TestNewLeaderKeepsEvidence guards against a bad version that passes because the
+// leader stopped: its successor must know what the versions did before.
+func TestNewLeaderKeepsEvidence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newTestRollouts(t, "v1", "v2")
+	r.Common = common.New(common.WithClock(func() time.Time { return now }))
+	r.receiveTestOrder()
+	r.receiveDecision(60, wire.MoveState_MOVE_STATE_MOVING)
+	order := r.orders["quotes"]
+	for failures := range uint64(6) {
+		for _, version := range []string{"v1", "v2"} {
+			r.records.Set(&wire.Record{Key: gossip.PrefixEvidence + version, Epoch: 1, Step: failures + 1, Body: &wire.Record_Evidence{Evidence: &wire.Evidence{
+				Node: version, Service: "quotes", Sequence: testOrderRevision, Totals: []*wire.RouteTotals{{Version: version, Route: "r", Requests: 10 * failures, Failures: failures}},
+			}}})
+		}
+		r.followEvidence(order)
+		now = now.Add(decisionInterval)
+	}
+	d := r.decisionsFor(order)
+	r.lead(order, d)
+	comparison := d.evaluator.Comparisons()[0]
+	if got, want := [2]uint64{comparison.NewEvents, comparison.NewTrials}, [2]uint64{5, 50}; got != want {
+		t.Errorf("the new leader knows of %d failures of %d requests, want %d of %d", got[0], got[1], want[0], want[1])
+	}
+	if got, want := d.evaluator.State().Permille, 60; got != want {
+		t.Errorf("the new leader continues at %d permille, want %d", got, want)
+	}
+}
--- a/pkg/node/store_shares.go
+++ b/pkg/node/store_shares.go
@@ -15,11 +15,18 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
-// orderDecisions is what the leader keeps about one order while it decides the
-// share of the order's version.
+// orderDecisions is what this node keeps about one order while it decides the share
+// of the order's version, or may have to take over from the leader.
 type orderDecisions struct {
-	mu          sync.Mutex
-	evaluator   *rollout.Evaluator
+	mu        sync.Mutex
+	evaluator *rollout.Evaluator
+	leaderState
+}
+
+// leaderState is what the leader keeps about one order.
+type leaderState struct {
+	// leads is set once this node continued from the record of the leader before.
+	leads       bool
 	deadline    time.Time
 	begun       time.Time
 	cause       string
@@ -33,26 +40,59 @@
 	reportedState string
 }
 
-// forgetDecisions drops this node's state as the leader.
+// forgetDecisions drops this node's state as the leader. It keeps the evidence.
 func (r *storeRollouts) forgetDecisions() {
+	for _, d := range r.allDecisions() {
+		d.mu.Lock()
+		d.leaderState = leaderState{}
+		d.mu.Unlock()
+	}
+}
+
+func (r *storeRollouts) allDecisions() []*orderDecisions {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var all []*orderDecisions
 	for _, t := range r.orders {
-		t.decisions = nil
+		if t.decisions != nil {
+			all = append(all, t.decisions)
+		}
 	}
+	return all
 }
 
-// decisionsFor returns the leader's state of an order and creates it when there
-// is none.
+// decisionsFor returns what this node keeps about an order, and creates it when
+// there is none.
 func (r *storeRollouts) decisionsFor(t *trackedOrder) *orderDecisions {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t.decisions == nil {
-		t.decisions = r.newDecisions(t)
+		move := &wire.Move{Service: t.order.Service, To: t.order.Version, Sequence: uint64(t.order.Revision)}
+		t.decisions = &orderDecisions{evaluator: rollout.NewEvaluator(move)}
 	}
 	return t.decisions
 }
 
+// isStandby reports whether this node is among the first that would replace the
+// leader of a service's order.
+func (r *storeRollouts) isStandby(service string) bool {
+	rank, _ := r.ranks(service)
+	return rank <= maxStandbyRank
+}
+
+// followEvidence keeps the evidence about an order that another node decides. A new
+// leader without it would compare the versions from its election on, and a fault that
+// had shown before would not count.
+func (r *storeRollouts) followEvidence(t *trackedOrder) {
+	d := r.decisionsFor(t)
+	r.mu.Lock()
+	permille := int(t.record.GetPermille())
+	r.mu.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.evaluator.Follow(r.Now(), permille, r.evidence(t.order.Service, t.order.Revision))
+}
+
 // decideShare decides the share of one order's version and publishes it to the
 // nodes. It makes no call to the store, so that a bad version is rolled back
 // during an outage of the store as well.
@@ -60,6 +100,7 @@
 	d := r.decisionsFor(t)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	r.lead(t, d)
 	service := t.order.Service
 	d.evaluator.Observe(r.Now(), r.evidence(service, t.order.Revision))
 	finding, changed := d.evaluator.StepBounded(rollout.BoundedInput{
@@ -98,6 +139,9 @@
 // after the operators.
 func (r *storeRollouts) report(ctx context.Context, t *trackedOrder) {
 	d := r.decisionsFor(t)
+	d.mu.Lock()
+	r.lead(t, d)
+	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	if !d.isStatusRead() && !r.readStatus(ctx, t, d) {
@@ -116,12 +160,15 @@
 	return d.statusRead
 }
 
-// newDecisions continues from the newest record of an earlier leader.
-func (r *storeRollouts) newDecisions(t *trackedOrder) *orderDecisions {
-	d := &orderDecisions{
-		evaluator: rollout.NewEvaluator(&wire.Move{Service: t.order.Service, To: t.order.Version, Sequence: uint64(t.order.Revision)}),
-		begun:     t.firstSeen,
+// lead continues from the newest record of an earlier leader. The caller holds d.mu.
+func (r *storeRollouts) lead(t *trackedOrder, d *orderDecisions) {
+	if d.leads {
+		return
 	}
+	d.leads = true
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d.begun = t.firstSeen
 	if t.record != nil {
 		// An earlier leader may have seen the order before this node started.
 		if begun := time.UnixMilli(t.record.GetBegunUnixMs()); begun.Before(d.begun) {
@@ -137,7 +184,6 @@
 		d.cause = t.record.GetCause()
 	}
 	d.deadline = d.begun.Add(t.order.Duration)
-	return d
 }
 
 func (r *storeRollouts) evidence(service string, order int64) []*wire.Evidence {
--- a/pkg/rollout/bounded.go
+++ b/pkg/rollout/bounded.go
@@ -60,6 +60,9 @@
 	// Short and Stages are as in Input.
 	Short  Window
 	Stages []Window
+	// OnNew is the number of requests that the new version has received. Stages holds
+	// only those that this node has observed.
+	OnNew uint64
 }
 
 // NextBounded decides the next state of a move under an exposure bound. It
@@ -113,11 +116,11 @@
 // canaryShare returns the share before the ramp, which keeps the requests on the
 // new version within the canary's part of the exposure bound.
 func canaryShare(in BoundedInput) int {
-	total, onNew := countRequests(in.Stages)
+	total := float64(max(countRequests(in.Stages), in.OnNew))
 	switch {
-	case float64(onNew) >= maxCanaryFraction*(in.Bounds.Share*float64(total)+in.Bounds.Slack):
+	case float64(in.OnNew) >= maxCanaryFraction*(in.Bounds.Share*total+in.Bounds.Slack):
 		return minCanaryPermille
-	case float64(onNew) < canaryFraction*in.Bounds.Slack:
+	case float64(in.OnNew) < canaryFraction*in.Bounds.Slack:
 		return permilleOf(in.Bounds.Share)
 	}
 	return permilleOf(canaryFraction * in.Bounds.Share)
@@ -130,15 +133,15 @@
 	return min(max(permille, minCanaryPermille), bundle.FullPermille)
 }
 
-// countRequests returns the requests that both versions and the new one received.
-func countRequests(windows []Window) (total, onNew uint64) {
+// countRequests returns the requests that both versions received.
+func countRequests(windows []Window) uint64 {
+	total := uint64(0)
 	for _, window := range windows {
 		for _, sides := range window {
 			total += sides.Old.received() + sides.New.received()
-			onNew += sides.New.received()
 		}
 	}
-	return total, onNew
+	return total
 }
 
 // withShare returns the state with the given share and a note that ends in the
--- a/pkg/rollout/bounded_test.go
+++ b/pkg/rollout/bounded_test.go
@@ -45,6 +45,7 @@
 	random     *rand.Rand
 	start, now time.Time
 	evaluator  *Evaluator
+	standby    *Evaluator
 	recorder   *Recorder
 	running    []simulatedRequest
 	// finding is set once the version was rolled back.
@@ -69,9 +70,10 @@
 
 func newBoundedSimulation(w workload, seed uint64) *boundedSimulation {
 	start := time.UnixMilli(1_700_000_000_000)
+	move := &wire.Move{Service: "stock", To: "v2", Sequence: 2}
 	s := &boundedSimulation{
 		workload: w, random: rand.New(rand.NewPCG(seed, seed)), start: start, now: start,
-		evaluator: NewEvaluator(&wire.Move{Service: "stock", To: "v2", Sequence: 2}),
+		evaluator: NewEvaluator(move), standby: NewEvaluator(move),
 	}
 	s.recorder = NewRecorder(func() time.Time { return s.now })
 	return s
@@ -91,10 +93,12 @@
 }
 
 func (s *boundedSimulation) decide() {
-	s.evaluator.Observe(s.now, []*wire.Evidence{{Node: "n", Service: "stock", Sequence: 2, Totals: s.recorder.Totals("stock")}})
+	evidence := []*wire.Evidence{{Node: "n", Service: "stock", Sequence: 2, Totals: s.recorder.Totals("stock")}}
+	s.evaluator.Observe(s.now, evidence)
 	s.finding, _ = s.evaluator.StepBounded(BoundedInput{
 		Now: s.now, Deadline: s.start.Add(simulatedMove), Bounds: Bounds{Share: simulatedShare, Slack: simulatedSlack}, NewServers: len(s.newSpeeds),
 	})
+	s.standby.Follow(s.now, s.evaluator.State().Permille, evidence)
 }
 
 // begin starts the requests of one step.
@@ -295,6 +299,16 @@
 	}
 }
 
+// TestStandbyKeepsEvidence guards against a new leader that compares the versions from
+// its election on only, so that a fault which had shown before does not count.
+func TestStandbyKeepsEvidence(t *testing.T) {
+	s := simulate(func(*workload) {}, 1)
+	got, want := s.standby.Comparisons()[0], s.evaluator.Comparisons()[0]
+	if got.NewTrials != want.NewTrials || got.NewEvents != want.NewEvents || got.OldTrials != want.OldTrials {
+		t.Errorf("the standby has %d of %d failures, against %d, want %d of %d, against %d", got.NewEvents, got.NewTrials, got.OldTrials, want.NewEvents, want.NewTrials, want.OldTrials)
+	}
+}
+
 // simulate plays one move of a workload that setUp changes.
 func simulate(setUp func(*workload), seed uint64) *boundedSimulation {
 	w := newWorkload()
--- a/pkg/rollout/evaluator.go
+++ b/pkg/rollout/evaluator.go
@@ -32,6 +32,17 @@
 // Observe adds the totals that the owner nodes report at a time.
 func (e *Evaluator) Observe(now time.Time, evidence []*wire.Evidence) { e.history.Add(now, evidence) }
 
+// Follow keeps the evidence of a move that another node decides, so that this one can
+// take over with it. permille is the share in force.
+func (e *Evaluator) Follow(now time.Time, permille int, evidence []*wire.Evidence) {
+	if permille != e.state.Permille {
+		e.state.Permille = permille
+		e.state.Since = now
+	}
+	e.history.Add(now, evidence)
+	e.history.StartStage(e.state.Since)
+}
+
 // Compare compares the versions at a share that another evaluator set at the time
 // since. It returns nil when the new version is not worse.
 func (e *Evaluator) Compare(since time.Time) *Finding {
@@ -73,10 +84,10 @@
 }
 
 // StepBounded is Step for a move of the whole deployment under an exposure bound.
-// It sets Short and Stages of the input from the evidence.
+// It sets Short, Stages and OnNew of the input from the evidence.
 func (e *Evaluator) StepBounded(in BoundedInput) (*Finding, bool) {
 	e.history.StartStage(e.state.Since)
-	in.Short, in.Stages = e.history.Short(), e.history.Stages()
+	in.Short, in.Stages, in.OnNew = e.history.Short(), e.history.Stages(), e.history.OnNew()
 	next, finding := NextBounded(e.state, in)
 	if finding != nil {
 		return finding, false
--- a/pkg/rollout/history.go
+++ b/pkg/rollout/history.go
@@ -23,9 +23,11 @@
 	to       string
 	// totals holds the newest totals of each node, grown the sum of their growth. What
 	// a node had counted before its first evidence is not in it.
-	totals    map[string]nodeTotals
-	grown     Window
-	snapshots []Snapshot
+	totals map[string]nodeTotals
+	grown  Window
+	// earlierOnNew counts the requests on the new version that are not in grown.
+	earlierOnNew uint64
+	snapshots    []Snapshot
 	// since is the time of the last change of the share.
 	since time.Time
 	// past holds one window for each of the last stages before that change.
@@ -62,6 +64,9 @@
 	h.totals[node] = totals
 	if !known {
 		before = totals
+		for _, sides := range totals {
+			h.earlierOnNew += sides.New.ended()
+		}
 	}
 	restarted := !before.isBefore(totals)
 	for route, sides := range totals {
@@ -118,6 +123,16 @@
 	return found
 }
 
+// OnNew returns the number of requests on the new version, including those that nodes
+// had counted before their first evidence.
+func (h *History) OnNew() uint64 {
+	n := h.earlierOnNew
+	for _, sides := range h.grown {
+		n += sides.New.received()
+	}
+	return n
+}
+
 // window returns the outcomes of the last length of time at the present share.
 func (h *History) window(length time.Duration) Window {
 	if len(h.snapshots) == 0 {
