Spend the canary's requests after the cold start of a new version

Cause: the first 30 requests went to backend servers that had just started, 19 to 24 of them without a counted latency, and the canary of six tenths of the bound's share did not use up its part afterwards.

The first part is three tenths of the slack, the canary three quarters of the share.

--- a/pkg/rollout/bounded.go
+++ b/pkg/rollout/bounded.go
@@ -14,12 +14,16 @@
 // late, and then raises the share in a few short steps. A step that shows a
 // fault uses up little of the exposure bound.
 const (
-	// canaryFraction is the part of the exposure bound that the canary uses: a
-	// fraction of its share all the time, and of its slack at the beginning.
-	canaryFraction = 0.6
-	// maxCanaryFraction is the part from which the canary gets minCanaryPermille, as
-	// it may when the number of requests falls. The rest is for the steps at the end.
-	maxCanaryFraction = 0.7
+	// initialFraction is the part of the bound's slack that the new version gets at the
+	// bound's share, which is enough to find a fault that every request shows. Most
+	// of these requests run on backend servers that have just started.
+	initialFraction = 0.3
+	// canaryFraction is the part of the bound's share that the new version then gets.
+	canaryFraction = 0.75
+	// maxCanaryFraction is the part of the exposure bound from which the canary gets
+	// minCanaryPermille, as it may when the number of requests falls. The rest is for
+	// the steps at the end.
+	maxCanaryFraction = 0.85
 	minCanaryPermille = 10
 	// rampSignificance is the maximum probability of a false alarm in one test
 	// while the share is raised before the deadline. All traffic must not move to a
@@ -120,7 +124,7 @@
 	switch {
 	case float64(in.OnNew) >= maxCanaryFraction*(in.Bounds.Share*total+in.Bounds.Slack):
 		return minCanaryPermille
-	case float64(in.OnNew) < canaryFraction*in.Bounds.Slack:
+	case float64(in.OnNew) < initialFraction*in.Bounds.Slack:
 		return permilleOf(in.Bounds.Share)
 	}
 	return permilleOf(canaryFraction * in.Bounds.Share)
