Log the limits that backend servers name in their answers

Seen by operators: nothing tells that a backend server is in need, and how many requests it got under its limit. backend_server_limited is written when a limit begins, changes or ends, with the requests since the last such line. No decision changes.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -31,6 +31,7 @@
 	ReleaseHeld            Name = "release_held"
 	BackendServerChanged   Name = "backend_server_changed"
 	BackendServerDown      Name = "backend_server_down"
+	BackendServerLimited   Name = "backend_server_limited"
 	BackendServerAdopted   Name = "backend_server_adopted"
 	AnnouncementRefused    Name = "announcement_refused"
 	OrderSeen              Name = "order_seen"
@@ -83,6 +84,7 @@
 		{ReleaseHeld, "This node accepted a signed release.", "sequence"},
 		{BackendServerChanged, "The backend server on this host announced a change.", "instance, service, version, draining, number"},
 		{BackendServerDown, "The backend server on this host accepts no connections or sends no heartbeats.", "instance"},
+		{BackendServerLimited, "The answers of the backend server on this host began to name a limit of requests a second, changed it or named none any more; runs is the number of requests that were sent to it since the last such line.", "instance, service, limited, per_second, was_limited, was_per_second, runs, for_ms"},
 		{BackendServerAdopted, "After a restart, the node received the record of the backend server on this host from peers or the store.", "instance, draining"},
 		{AnnouncementRefused, "A call from a backend server was invalid.", "reason, error"},
 		{OrderSeen, "The operators ordered the move of a service to a version.", "service, version, revision, duration_ms"},
--- a/pkg/request/backends.go
+++ b/pkg/request/backends.go
@@ -64,8 +64,9 @@
 	// time, or announces itself after it was marked down.
 	incarnation uint64
 	// firstRun and runs decide whether the backend server is cold.
-	firstRun time.Time
-	runs     int
+	firstRun  time.Time
+	runs      int
+	rateLimit rateLimit
 	// upCtx ends when the backend server is marked down.
 	upCtx    context.Context
 	cancelUp context.CancelFunc
@@ -133,6 +134,7 @@
 	if known && (b.record.GetDown() || b.record.GetBornUnixMs() != record.GetBornUnixMs()) {
 		b.incarnation++
 		b.runs = 0
+		b.rateLimit = rateLimit{since: o.Now()}
 		b.upCtx, b.cancelUp = context.WithCancel(context.Background())
 	}
 	if known && b.record.GetAddress() != record.GetAddress() {
@@ -188,6 +190,7 @@
 			gate:    admission.NewGate(o.Now, int(record.GetSlots()), o.hooks.QueueLength(record.GetService())),
 			breaker: admission.NewBreaker(o.Now),
 		}
+		b.rateLimit.since = o.Now()
 		b.upCtx, b.cancelUp = context.WithCancel(context.Background())
 		b.client, b.close = backend.NewClient(record.GetAddress(), o.Now)
 		o.backends[record.GetInstance()] = b
@@ -280,6 +283,7 @@
 		b.firstRun = now
 	}
 	b.runs++
+	b.rateLimit.runs++
 	return b.runs <= minColdRuns || now.Sub(b.firstRun) < minColdTime
 }
 
--- a/pkg/request/headers.go
+++ b/pkg/request/headers.go
@@ -25,6 +25,9 @@
 	ExpectedInstance string
 	// NotRun marks an answer of a backend server that did not run the request.
 	NotRun string
+	// RateLimit names the requests a second that the backend server takes from all
+	// nodes, for as long as its answers have it.
+	RateLimit string
 	// StatusMeansNotRun is set when callers take 408, 421, 429 and 503 to mean that the
 	// request has not run. An unknown outcome then gets another status.
 	StatusMeansNotRun bool
@@ -34,7 +37,7 @@
 
 // DefaultHeaders returns the header names that are used unless others are set.
 func DefaultHeaders() Headers {
-	return Headers{RequestID: "Hibiscusrock-Request-Id", RemainingMS: "Hibiscusrock-Remaining-Ms"}
+	return Headers{RequestID: "Hibiscusrock-Request-Id", RemainingMS: "Hibiscusrock-Remaining-Ms", RateLimit: "Hibiscusrock-Rate-Limit"}
 }
 
 // replacedHeaders returns the headers of a caller's request that nodes set anew.
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -74,6 +74,7 @@
 		r.owner.markDown(r.backend)
 		return r.refuseNotRun(verdict.BackendReplaced)
 	}
+	r.applyRateLimit(answer)
 	if r.isShed(answer) {
 		return r.refuseShed(answer)
 	}
