Keep the limit of requests a second that a backend server names

Cause: the gate of a backend server counts requests at work, not requests a second; the limit was read and logged and nothing kept to it. All requests of a backend server pass its gate, also repeats, calls of other backend servers and a canary's share, so the gate keeps the limit for the fleet: it starts as many a second, a quarter of a second's at once; what does not fit waits by priority and objective while it can be in time, else it is refused at once and goes to another backend server. A limit outlives a heartbeat that comes late.

Ruled out by the log lines: a limit that is kept by each node alone, and one that is lost.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -61,30 +61,48 @@
 // Gate admits requests to one backend server. It is safe for concurrent use.
 type Gate struct {
 	now func() time.Time
+	// after calls a function once, after a time.
+	after func(time.Duration, func())
 
-	mu           sync.Mutex
-	slots        float64
-	limit        float64
-	running      map[*runningRequest]bool
-	queueLength  int
-	queue        queue
-	estimates    estimates
-	offeredLoad  offeredLoad
+	mu          sync.Mutex
+	slots       float64
+	limit       float64
+	running     map[*runningRequest]bool
+	queueLength int
+	queue       queue
+	estimates   estimates
+	offeredLoad offeredLoad
+	pacer       pacer
+	// plannedStart is when the earliest planned call of serveQueue is due, or zero.
+	plannedStart time.Time
 	lastDecrease time.Time
 	closeRefusal *verdict.Refusal
 }
 
+// GateOption configures a Gate.
+type GateOption func(*Gate)
+
+// WithAfter replaces time.AfterFunc.
+func WithAfter(after func(time.Duration, func())) GateOption {
+	return func(g *Gate) { g.after = after }
+}
+
 // NewGate returns an open gate for a backend server with the given number of
 // slots. Up to queueLength requests wait for a slot.
-func NewGate(now func() time.Time, slots, queueLength int) *Gate {
-	return &Gate{
+func NewGate(now func() time.Time, slots, queueLength int, opts ...GateOption) *Gate {
+	g := &Gate{
 		now:         now,
+		after:       func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		slots:       float64(slots),
 		limit:       float64(slots),
 		running:     make(map[*runningRequest]bool),
 		queueLength: queueLength,
 		estimates:   newEstimates(),
 	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
 }
 
 // Resize changes the number of announced slots and the maximum length of the
@@ -101,6 +119,31 @@
 	g.queueLength = queueLength
 }
 
+// LimitRate limits the number of requests that are started a second. Requests that run
+// are not affected.
+func (g *Gate) LimitRate(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pacer.set(perSecond, g.now())
+	g.serveQueue()
+}
+
+// LiftRateLimit ends the limit on the rate.
+func (g *Gate) LiftRateLimit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pacer.lift()
+	g.serveQueue()
+}
+
+// ChargeRate counts a request that is sent without Acquire against the limit on the
+// rate.
+func (g *Gate) ChargeRate() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pacer.charge(g.now())
+}
+
 // Close refuses all waiting and further requests with refusal, until Open is
 // called. Running requests are not affected.
 func (g *Gate) Close(refusal *verdict.Refusal) {
@@ -187,7 +230,7 @@
 	if w.isOnTime(now) {
 		g.offeredLoad.add(now, w.expected)
 	}
-	if len(g.queue) == 0 && g.hasSlot() {
+	if len(g.queue) == 0 && g.canStart(now) {
 		if now.Add(w.expected / freeSlotDivisor).After(work.Deadline) {
 			return nil, nil, verdict.Refuse(verdict.NotRun, verdict.DeadlineTooNear)
 		}
@@ -199,6 +242,7 @@
 	w.queued = true
 	g.queue = append(g.queue, w)
 	g.refuseUnmeetable(now)
+	g.planStart(now)
 	if !w.queued {
 		return nil, nil, <-w.settled
 	}
@@ -229,7 +273,8 @@
 // objective. Requests that arrive later and meet theirs are served before it, so
 // only the part of the limit that they leave free serves the queue ahead of it.
 func (g *Gate) expectedLateWait(wait time.Duration, now time.Time) time.Duration {
-	spareCapacity := 1 - g.offeredLoad.current(now)/max(g.limit, minLimit)
+	capacity := g.pacer.slots(g.estimates.overall.mean, max(g.limit, minLimit))
+	spareCapacity := 1 - g.offeredLoad.current(now)/capacity
 	return time.Duration(float64(wait) / max(spareCapacity, minSpareCapacity))
 }
 
@@ -237,19 +282,28 @@
 func (g *Gate) admit(w *waiter) *runningRequest {
 	r := &runningRequest{kind: w.work.Kind, started: g.now(), expected: w.expected}
 	g.running[r] = true
+	g.pacer.charge(r.started)
 	return r
 }
 
 func (g *Gate) hasSlot() bool { return float64(len(g.running))+1 <= max(g.limit, minLimit) }
 
+// canStart reports whether a request may be given a slot now.
+func (g *Gate) canStart(now time.Time) bool { return g.hasSlot() && g.pacer.wait(now, 0) == 0 }
+
 // expectedWait returns the expected time until w is given a slot: the work that
-// is served before w and the mean running work, divided by the limit.
+// is served before w and the mean running work, divided by the limit, or the time
+// until the rate allows its start if that is longer.
 func (g *Gate) expectedWait(w *waiter, now time.Time) time.Duration {
-	if g.hasSlot() && len(g.queue) == 0 {
+	if len(g.queue) == 0 && g.canStart(now) {
 		return 0
 	}
-	total := g.queue.workAhead(w, now) + g.meanRunning(now)
-	return time.Duration(float64(total) / max(g.limit, minLimit))
+	requests, work := g.queue.ahead(w, now)
+	paced := g.pacer.wait(now, requests)
+	if paced > 0 && g.hasSlot() {
+		return paced
+	}
+	return max(paced, time.Duration(float64(work+g.meanRunning(now))/max(g.limit, minLimit)))
 }
 
 // meanRunning returns the mean expected work of the running requests. A request
@@ -335,10 +389,33 @@
 func (g *Gate) serveQueue() {
 	now := g.now()
 	g.refuseUnmeetable(now)
-	for len(g.queue) > 0 && g.hasSlot() {
+	for len(g.queue) > 0 && g.canStart(now) {
 		w := g.queue.first(now)
 		g.queue.remove(w)
 		w.slot = g.admit(w)
 		w.settle(nil)
 	}
+	g.planStart(now)
+}
+
+// planStart arranges that the queue is served when the rate allows the next start. If
+// no slot is free by then, the end of a running request serves it.
+func (g *Gate) planStart(now time.Time) {
+	wait := g.pacer.wait(now, 0)
+	if len(g.queue) == 0 || wait == 0 {
+		return
+	}
+	due := now.Add(wait)
+	if !g.plannedStart.IsZero() && !due.Before(g.plannedStart) {
+		return
+	}
+	g.plannedStart = due
+	g.after(wait, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.plannedStart.Equal(due) {
+			g.plannedStart = time.Time{}
+		}
+		g.serveQueue()
+	})
 }
--- a/pkg/admission/load_test.go
+++ b/pkg/admission/load_test.go
@@ -28,8 +28,16 @@
 
 // simulate sends a load to one gate in virtual time and returns the results by kind.
 func simulate(seed uint64, slots int, length time.Duration, kinds map[string]loadKind) map[string]*loadResult {
+	return newSimulation(seed, slots).run(length, kinds)
+}
+
+func newSimulation(seed uint64, slots int) *simulation {
 	p := &simulation{random: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(0, 0), results: make(map[string]*loadResult)}
-	p.gate = NewGate(func() time.Time { return p.now }, slots, 64)
+	p.gate = NewGate(func() time.Time { return p.now }, slots, 64, WithAfter(func(d time.Duration, f func()) { p.schedule(p.now.Add(d), f) }))
+	return p
+}
+
+func (p *simulation) run(length time.Duration, kinds map[string]loadKind) map[string]*loadResult {
 	end := p.now.Add(length)
 	for name, kind := range kinds {
 		p.results[name] = &loadResult{}
@@ -52,6 +60,8 @@
 	events  events
 	waiting []*simulatedRequest
 	results map[string]*loadResult
+	// starts holds the times at which requests were given a slot.
+	starts []time.Time
 }
 
 type simulatedRequest struct {
@@ -67,6 +77,9 @@
 // scheduleArrival schedules the next request of a kind after a random gap
 // (Poisson arrivals), until end.
 func (p *simulation) scheduleArrival(name string, kind loadKind, end time.Time) {
+	if kind.perSecond == 0 {
+		return
+	}
 	gap := time.Duration(p.random.ExpFloat64() / kind.perSecond * float64(time.Second))
 	at := p.now.Add(gap)
 	if at.After(end) {
@@ -92,11 +105,12 @@
 		q.waiter = w
 		p.waiting = append(p.waiting, q)
 	default:
-		p.run(q, r)
+		p.start(q, r)
 	}
 }
 
-func (p *simulation) run(q *simulatedRequest, r *runningRequest) {
+func (p *simulation) start(q *simulatedRequest, r *runningRequest) {
+	p.starts = append(p.starts, p.now)
 	s := q.kind.logDeviation
 	work := time.Duration(float64(q.kind.work) * math.Exp(s*p.random.NormFloat64()-s*s/2))
 	p.schedule(p.now.Add(work), func() {
@@ -128,7 +142,7 @@
 
 func (p *simulation) settle(q *simulatedRequest, refusal *verdict.Refusal) {
 	if refusal == nil {
-		p.run(q, q.waiter.slot)
+		p.start(q, q.waiter.slot)
 		return
 	}
 	q.result.refused++
@@ -214,3 +228,56 @@
 		}
 	}
 }
+
+// TestRateLimit simulates loads on a backend server that takes a number of requests a
+// second. It must get no more in any window, and nearly as many; requests that will not
+// be served are refused at once, the urgent ones last.
+func TestRateLimit(t *testing.T) {
+	const slots, length, window = 9, 60 * time.Second, 4 * time.Second
+	quotes := loadKind{work: 120 * time.Millisecond, logDeviation: 0.5, priority: 2, objective: 400 * time.Millisecond, deadline: 1000 * time.Millisecond}
+	bookings := quotes
+	bookings.priority = 1
+	tests := map[string]struct {
+		limit, quotes, bookings float64
+	}{
+		"a few requests a second":       {limit: 2.5, quotes: 10},
+		"requests for half of the rate": {limit: 20, quotes: 8, bookings: 2},
+		"ten times the rate":            {limit: 20, quotes: 190, bookings: 10},
+		"limit above the load":          {limit: 500, quotes: 40, bookings: 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			quotes, bookings := quotes, bookings
+			quotes.perSecond, bookings.perSecond = test.quotes, test.bookings
+			p := newSimulation(1, slots)
+			p.gate.LimitRate(test.limit)
+			results := p.run(length, map[string]loadKind{"quotes": quotes, "bookings": bookings})
+			burst := test.limit * paceWindow.Seconds()
+			if got, want := float64(p.mostStarts(window)), test.limit*window.Seconds()+max(burst, 1)+1; got > want {
+				t.Errorf("got %v starts in %v, want at most %.0f", got, window, want)
+			}
+			capacity := min(test.limit, test.quotes+test.bookings, slots/quotes.work.Seconds())
+			if got, want := float64(len(p.starts)), 0.9*capacity*length.Seconds(); got < want {
+				t.Errorf("got %v starts, want at least %.0f", got, want)
+			}
+			if r := results["quotes"]; r.refusedAfterWait > r.requests/10 {
+				t.Errorf("%d of %d requests were refused after a wait, want at most one in ten", r.refusedAfterWait, r.requests)
+			}
+			if r := results["bookings"]; r.refused > r.requests/20 {
+				t.Errorf("%d of %d urgent requests were refused, want at most one in 20", r.refused, r.requests)
+			}
+		})
+	}
+}
+
+// mostStarts returns the highest number of starts in any window of a length.
+func (p *simulation) mostStarts(window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range p.starts {
+		for at.Sub(p.starts[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -111,16 +111,16 @@
 	return best
 }
 
-// workAhead returns the total expected work of the requests that are served
-// before w.
-func (q queue) workAhead(w *waiter, now time.Time) time.Duration {
-	total := time.Duration(0)
+// ahead returns the number of requests that are served before w, and their total
+// expected work.
+func (q queue) ahead(w *waiter, now time.Time) (requests int, work time.Duration) {
 	for _, other := range q {
 		if other != w && !w.isServedBefore(other, now) {
-			total += other.expected
+			requests++
+			work += other.expected
 		}
 	}
-	return total
+	return requests, work
 }
 
 func (q *queue) remove(w *waiter) {
--- a/pkg/node/host.go
+++ b/pkg/node/host.go
@@ -64,9 +64,12 @@
 	Address  string  `json:"address"`
 	Slots    int     `json:"slots"`
 	Limit    float64 `json:"limit"`
-	Running  int     `json:"running"`
-	Draining bool    `json:"draining"`
-	Down     bool    `json:"down"`
+	// RateLimit is the number of requests a second that the backend server takes,
+	// or 0 if it names none.
+	RateLimit float64 `json:"rate_limit"`
+	Running   int     `json:"running"`
+	Draining  bool    `json:"draining"`
+	Down      bool    `json:"down"`
 }
 
 // MoveState is a move as this node knows it, in release mode.
@@ -192,7 +195,7 @@
 		r := b.Record()
 		s.Backends = append(s.Backends, BackendState{
 			Instance: r.GetInstance(), Service: r.GetService(), Version: r.GetVersion(), Address: r.GetAddress(),
-			Slots: int(r.GetSlots()), Limit: b.Gate().Limit(), Running: b.Gate().Running(), Draining: r.GetDraining(), Down: r.GetDown(),
+			Slots: int(r.GetSlots()), Limit: b.Gate().Limit(), RateLimit: b.RateLimit(), Running: b.Gate().Running(), Draining: r.GetDraining(), Down: r.GetDown(),
 		})
 	}
 	if table == nil || n.adapter != nil {
--- a/pkg/request/backends.go
+++ b/pkg/request/backends.go
@@ -88,6 +88,14 @@
 // Gate returns the backend server's admission gate.
 func (b *Backend) Gate() *admission.Gate { return b.gate }
 
+// RateLimit returns the requests a second that the backend server takes, or 0 if it
+// names no limit.
+func (b *Backend) RateLimit() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rateLimit.perSecond
+}
+
 func (b *Backend) isDown() bool { return b.Record().GetDown() }
 
 // serves reports whether the backend server is up and has the service and version
@@ -134,9 +142,12 @@
 	if known && (b.record.GetDown() || b.record.GetBornUnixMs() != record.GetBornUnixMs()) {
 		b.incarnation++
 		b.runs = 0
-		b.rateLimit = rateLimit{since: o.Now()}
 		b.upCtx, b.cancelUp = context.WithCancel(context.Background())
 	}
+	if known && b.record.GetBornUnixMs() != record.GetBornUnixMs() {
+		b.rateLimit = rateLimit{since: o.Now()}
+		b.gate.LiftRateLimit()
+	}
 	if known && b.record.GetAddress() != record.GetAddress() {
 		b.close()
 		b.client, b.close = backend.NewClient(record.GetAddress(), o.Now)
--- a/pkg/request/rate_limit.go
+++ b/pkg/request/rate_limit.go
@@ -41,6 +41,11 @@
 	if !changed {
 		return
 	}
+	if next.named {
+		r.backend.gate.LimitRate(next.perSecond)
+	} else {
+		r.backend.gate.LiftRateLimit()
+	}
 	r.owner.Event(event.BackendServerLimited).WithFields(logrus.Fields{
 		"instance": r.in.GetInstance(), "service": r.in.GetService(), "limited": next.named, "per_second": next.perSecond,
 		"was_limited": before.named, "was_per_second": before.perSecond, "runs": before.runs, "for_ms": r.owner.Now().Sub(before.since).Milliseconds(),
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -159,6 +159,7 @@
 	answer, err := r.matchingAnswer(ctx, req)
 	if errors.Is(err, errMismatchedAnswers) && r.in.GetIdempotent() && ctx.Err() == nil {
 		req.Fresh = true
+		r.backend.gate.ChargeRate()
 		return r.matchingAnswer(ctx, req)
 	}
 	return answer, err
