Keep the limit of a backend server over a restart of its node

Seen by backend servers in need (in a test): after a restart the node on the host has forgotten the limit and starts as many requests at once as there are slots, until the first answer names it again. Each restart costs the server that much beyond its limit.

Cause: the limit lived in the process only. The record of the backend server now carries it; peers and the registration keep the record, and a node that starts adopts it from there, in whichever order the record and the first heartbeat arrive. A new incarnation of the server starts without one. The record changes with the next heartbeat, so a limit that changes with every answer costs one record a heartbeat.

TestRateLimitOutlivesRestart fails without adopting (four requests at once, one allowed). Ruled out: reading the limit from the answers only, as a fast series of restarts never leaves time for one.

--- a/pkg/request/backends.go
+++ b/pkg/request/backends.go
@@ -138,20 +138,24 @@
 func (o *Owner) HandleAnnouncement(record *wire.Endpoint) {
 	b, known := o.findOrAddBackend(record)
 	b.mu.Lock()
-	changed := !known || !sameAnnouncement(b.record, record)
 	if known && (b.record.GetDown() || b.record.GetBornUnixMs() != record.GetBornUnixMs()) {
 		b.incarnation++
 		b.runs = 0
 		b.upCtx, b.cancelUp = context.WithCancel(context.Background())
 	}
-	if known && b.record.GetBornUnixMs() != record.GetBornUnixMs() {
+	switch {
+	case !known:
+		b.adoptRateLimit(record, o.Now())
+	case b.record.GetBornUnixMs() != record.GetBornUnixMs():
 		b.rateLimit = rateLimit{since: o.Now()}
 		b.gate.LiftRateLimit()
 	}
+	record.RateLimit = b.rateLimit.announced()
 	if known && b.record.GetAddress() != record.GetAddress() {
 		b.close()
 		b.client, b.close = backend.NewClient(record.GetAddress(), o.Now)
 	}
+	changed := !known || !sameAnnouncement(b.record, record)
 	b.record = record
 	b.lastSeen = o.Now()
 	b.mu.Unlock()
--- a/pkg/request/heartbeats.go
+++ b/pkg/request/heartbeats.go
@@ -26,6 +26,9 @@
 		// restart.
 		record = proto.Clone(known).(*wire.Endpoint)
 	}
+	if b == nil && known != nil && known.GetBornUnixMs() == record.GetBornUnixMs() {
+		record.RateLimit = known.RateLimit
+	}
 	wasDraining := b != nil && known.GetDraining()
 	o.HandleAnnouncement(record)
 	return record.GetDraining() && !wasDraining
@@ -68,6 +71,11 @@
 func (o *Owner) Adopt(record *wire.Endpoint) bool {
 	for _, b := range o.Backends() {
 		known := b.Record()
+		if known.GetInstance() == record.GetInstance() && known.GetBornUnixMs() == record.GetBornUnixMs() {
+			b.mu.Lock()
+			b.adoptRateLimit(record, o.Now())
+			b.mu.Unlock()
+		}
 		if known.GetInstance() != record.GetInstance() || !isLate(known, record) {
 			return false
 		}
--- a/pkg/request/heartbeats_test.go
+++ b/pkg/request/heartbeats_test.go
@@ -5,7 +5,11 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/admission"
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/quarantine"
@@ -179,3 +183,49 @@
 		})
 	}
 }
+
+// TestRateLimitOutlivesRestart guards against a restarted node that sends a backend
+// server more requests than it takes until the first answer names the limit again.
+func TestRateLimitOutlivesRestart(t *testing.T) {
+	const perSecond = 2.0
+	published := testRecord(1, 3, false)
+	published.RateLimit = proto.Float64(perSecond)
+	tests := map[string]struct {
+		restart func(*Owner)
+		want    float64
+	}{
+		"record of the earlier incarnation": {func(o *Owner) { o.Adopt(published) }, perSecond},
+		"record before the heartbeat":       {func(o *Owner) { o.Adopt(published); o.Heartbeat(testRecord(1, 4, false), nil) }, perSecond},
+		"heartbeat before the record": {func(o *Owner) {
+			o.Heartbeat(testRecord(1, 4, false), nil)
+			o.Adopt(published)
+			o.Heartbeat(testRecord(1, 5, false), nil)
+		}, perSecond},
+		"heartbeat beside what peers know": {func(o *Owner) { o.Heartbeat(testRecord(1, 4, false), published) }, perSecond},
+		"new incarnation of the server":    {func(o *Owner) { o.Adopt(published); o.Heartbeat(testRecord(2, 1, false), nil) }, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := newTestOwner(t)
+			test.restart(o)
+			b := o.Backends()[0]
+			if got := b.RateLimit(); got != test.want {
+				t.Errorf("got a limit of %v a second, want %v", got, test.want)
+			}
+			if got := b.Record().GetRateLimit(); got != test.want {
+				t.Errorf("the published record has a limit of %v a second, want %v", got, test.want)
+			}
+			started := 0
+			for range 4 {
+				work := admission.Work{Deadline: time.Now().Add(100 * time.Millisecond)}
+				if release, refusal := b.Gate().Acquire(context.Background(), work); refusal == nil {
+					started++
+					release(admission.Failed)
+				}
+			}
+			if want := 1; test.want > 0 && started != want {
+				t.Errorf("%d requests were started at once, want %d", started, want)
+			}
+		})
+	}
+}
--- a/pkg/request/rate_limit.go
+++ b/pkg/request/rate_limit.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/backend"
 	"github.com/hibiscusrock/hibiscusrock/pkg/event"
+	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
 // rateLimit is the limit that a backend server names in its answers.
@@ -23,6 +24,24 @@
 	confirmedAt time.Time
 }
 
+// announced returns the limit as the backend server's record has it.
+func (l rateLimit) announced() *float64 {
+	if !l.named {
+		return nil
+	}
+	return &l.perSecond
+}
+
+// adoptRateLimit applies the limit in a record that an earlier incarnation of this node
+// published, unless an answer has named one since. The caller holds b.mu.
+func (b *Backend) adoptRateLimit(record *wire.Endpoint, now time.Time) {
+	if record.RateLimit == nil || b.rateLimit.named {
+		return
+	}
+	b.rateLimit = rateLimit{named: true, perSecond: record.GetRateLimit(), since: now}
+	b.gate.LimitRate(record.GetRateLimit())
+}
+
 // applyRateLimit applies the limit that an answer names, or ends the limit if the answer
 // names none. An answer without one ends no limit that was named after its request
 // was sent, because answers may overtake each other.
