Drain a backend server whose answers say that it leaves

Seen by callers (in a test): an instance says in its answers that it leaves and goes on getting requests until its next heartbeat, or until it is gone if it sends none.

Cause: only heartbeats and the leave call start a drain; the header was not read. The answer now goes through the same door as the leave call: the gate on the host of the server closes at once for the whole fleet, the record is published, later heartbeats of that incarnation and a restart of the node do not undo it.

TestLeavingInAnswers failed before (200 where 503 is wanted, after the answer, a heartbeat and a restart).

--- a/pkg/request/headers.go
+++ b/pkg/request/headers.go
@@ -28,6 +28,8 @@
 	// RateLimit names the requests a second that the backend server takes from all
 	// nodes, for as long as its answers have it.
 	RateLimit string
+	// Leaving is true in the answers of a backend server that is about to stop.
+	Leaving string
 	// StatusMeansNotRun is set when callers take 408, 421, 429 and 503 to mean that the
 	// request has not run. An unknown outcome then gets another status.
 	StatusMeansNotRun bool
@@ -37,7 +39,7 @@
 
 // DefaultHeaders returns the header names that are used unless others are set.
 func DefaultHeaders() Headers {
-	return Headers{RequestID: "Hibiscusrock-Request-Id", RemainingMS: "Hibiscusrock-Remaining-Ms", RateLimit: "Hibiscusrock-Rate-Limit"}
+	return Headers{RequestID: "Hibiscusrock-Request-Id", RemainingMS: "Hibiscusrock-Remaining-Ms", RateLimit: "Hibiscusrock-Rate-Limit", Leaving: "Hibiscusrock-Leaving"}
 }
 
 // replacedHeaders returns the headers of a caller's request that nodes set anew.
--- a/pkg/request/heartbeats.go
+++ b/pkg/request/heartbeats.go
@@ -56,6 +56,9 @@
 		if born != 0 && born < known.GetBornUnixMs() {
 			return false
 		}
+		if known.GetNumber() == leaveNumber && known.GetBornUnixMs() == born {
+			return false
+		}
 		record = proto.Clone(known).(*wire.Endpoint)
 		wasInUse = !known.GetDraining()
 	}
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -75,6 +75,7 @@
 		return r.refuseNotRun(verdict.BackendReplaced)
 	}
 	r.applyRateLimit(answer)
+	r.applyLeaving(answer)
 	if r.isShed(answer) {
 		return r.refuseShed(answer)
 	}
@@ -144,6 +145,14 @@
 	return answer.Header().Get(name) != ""
 }
 
+// applyLeaving drains the backend server for the rest of its incarnation if the answer
+// says that it is about to stop.
+func (r *run) applyLeaving(answer *backend.Answer) {
+	if leaving, err := strconv.ParseBool(answer.Header().Get(r.owner.headers.Leaving)); err == nil && leaving {
+		r.owner.Leave(r.record.GetInstance(), r.record.GetBornUnixMs())
+	}
+}
+
 // isReplaced reports whether a backend server other than the expected one got the
 // request and did not run it, which it signals by status 421.
 func (r *run) isReplaced(answer *backend.Answer) bool {
