Log the era of the store and the configurations that a node skips

Seen by operators: a configuration that the store had confirmed does not come into force, and no node logs anything about it. store_restored is written when an answer of the store has a higher Store-Era than before; configuration_skipped when the store offers another configuration than the one in force and it is not used, with both revisions. No decision changes.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -22,12 +22,14 @@
 	LogLinesDropped        Name = "log_lines_dropped"
 	StoreReached           Name = "store_reached"
 	StoreLost              Name = "store_lost"
+	StoreRestored          Name = "store_restored"
 	RegistrationLapsed     Name = "registration_lapsed"
 	RegistrationFailed     Name = "registration_failed"
 	PeerChanged            Name = "peer_changed"
 	PeerNameTaken          Name = "peer_name_taken"
 	ConfigurationInForce   Name = "configuration_in_force"
 	ConfigurationRefused   Name = "configuration_refused"
+	ConfigurationSkipped   Name = "configuration_skipped"
 	ReleaseHeld            Name = "release_held"
 	BackendServerChanged   Name = "backend_server_changed"
 	BackendServerDown      Name = "backend_server_down"
@@ -75,12 +77,14 @@
 		{LogLinesDropped, "Log lines were dropped because their rate was too high or their reader was too slow.", "lines"},
 		{StoreReached, "The store answers again.", ""},
 		{StoreLost, "The store does not answer, or dropped the history that a watch needs.", "error"},
+		{StoreRestored, "The store was restored from an earlier copy: what was written after the copy is lost, and revisions and lease numbers are given out again.", "era, era_before"},
 		{RegistrationLapsed, "The lease of this node's address expired; the node registers the address again.", ""},
 		{RegistrationFailed, "The registration cannot be encoded.", "error"},
 		{PeerChanged, "A node joined, failed its probes, was declared dead or left.", "member, state"},
 		{PeerNameTaken, "Another node uses the name of this node.", "other"},
 		{ConfigurationInForce, "A configuration came into force on this node.", "sequence, revision, from"},
 		{ConfigurationRefused, "A configuration was refused; the previous one stays in force.", "sequence, revision, from, error"},
+		{ConfigurationSkipped, "The store offered another configuration than the one in force, which it does not replace.", "sequence, revision, held_revision, from"},
 		{ReleaseHeld, "This node accepted a signed release.", "sequence"},
 		{BackendServerChanged, "The backend server on this host announced a change.", "instance, service, version, draining, number"},
 		{BackendServerDown, "The backend server on this host accepts no connections or sends no heartbeats.", "instance"},
--- a/pkg/node/store_watch.go
+++ b/pkg/node/store_watch.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"strings"
 	"time"
@@ -79,7 +80,11 @@
 // offerSnapshot puts a configuration in force if it is newer than the present
 // one; from names its source for the log.
 func (n *Node) offerSnapshot(revision int64, content []byte, from string) {
-	n.logOffer(n.snapshots.Offer(revision, content), revision, from)
+	err := n.snapshots.Offer(revision, content)
+	n.logOffer(err, revision, from)
+	if fault.Is(err, fault.KindStale) {
+		n.logSkipped(revision, content, from)
+	}
 }
 
 // logOffer logs whether an offered configuration came into force or was
@@ -96,6 +101,18 @@
 	n.Event(event.ConfigurationInForce).WithFields(fields).Info("configuration in force")
 }
 
+// logSkipped logs a configuration that was not used although it differs from the one in
+// force.
+func (n *Node) logSkipped(revision int64, content []byte, from string) {
+	held := n.snapshots.Newest()
+	if bytes.Equal(content, held.GetContent()) {
+		return
+	}
+	n.Event(event.ConfigurationSkipped).WithFields(logrus.Fields{
+		"revision": revision, "held_revision": held.GetRevision(), "sequence": held.GetSequence(), "from": from,
+	}).Info("configuration skipped")
+}
+
 func (n *Node) onSnapshotEnforced(*routing.Table) { n.gossiper.notifyConfiguration() }
 
 // sinceContact returns the time since a peer last answered or called.
--- /dev/null
+++ b/pkg/store/eras.go
@@ -0,0 +1,33 @@
+package store
+
+import (
+	"sync"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
+)
+
+// Eras tracks the era of the store, which rises by one each time the store is restored
+// from an earlier copy of its data. It is safe for concurrent use.
+type Eras struct {
+	*common.Common
+
+	mu     sync.Mutex
+	known  bool
+	newest int64
+}
+
+// NewEras returns an Eras that knows no era yet.
+func NewEras(cm *common.Common) *Eras { return &Eras{Common: cm} }
+
+// Observe records the era of an answer of the store.
+func (e *Eras) Observe(era int64) {
+	e.mu.Lock()
+	before, known := e.newest, e.known
+	e.newest, e.known = max(era, before), true
+	e.mu.Unlock()
+	if known && era > before {
+		e.Count(`hibiscusrock_store_restored_total`)
+		e.Event(event.StoreRestored).WithField("era", era).WithField("era_before", before).Warn("the store was restored from a copy")
+	}
+}
