Order the revisions of the store by its era

A store that was restored from a copy gives its revisions out again, so the revision is no clock. The new log lines show it: six nodes read version 16 within 35 ms and skip it, revision 29 against 29.

Each answer names the era of the store.

--- a/pkg/node/store_rollouts.go
+++ b/pkg/node/store_rollouts.go
@@ -121,7 +121,7 @@
 	r.mu.Unlock()
 	if isNew {
 		r.Event(event.OrderSeen).WithFields(logrus.Fields{
-			"service": order.Service, "version": order.Version, "revision": order.Revision, "duration_ms": order.Duration.Milliseconds(),
+			"service": order.Service, "version": order.Version, "revision": store.NumberOf(order.Revision), "era": store.EraOf(order.Revision), "duration_ms": order.Duration.Milliseconds(),
 		}).Info("order seen")
 		wake(r.woken)
 	}
--- a/pkg/node/store_shares.go
+++ b/pkg/node/store_shares.go
@@ -311,6 +311,6 @@
 		return d.reportedState != before
 	}
 	d.reportedState = state
-	r.Event(event.StatusWritten).WithFields(logrus.Fields{"service": t.order.Service, "version": t.order.Version, "state": state, "revision": kv.ModRevision, "cause": d.cause}).Info("status written")
+	r.Event(event.StatusWritten).WithFields(logrus.Fields{"service": t.order.Service, "version": t.order.Version, "state": state, "revision": store.NumberOf(kv.ModRevision), "era": store.EraOf(kv.ModRevision), "cause": d.cause}).Info("status written")
 	return true
 }
--- a/pkg/node/store_watch.go
+++ b/pkg/node/store_watch.go
@@ -93,7 +93,7 @@
 	if fault.Is(err, fault.KindStale) {
 		return
 	}
-	fields := logrus.Fields{"revision": revision, "from": from, "sequence": n.heldSequence()}
+	fields := logrus.Fields{"revision": store.NumberOf(revision), "era": store.EraOf(revision), "from": from, "sequence": n.heldSequence()}
 	if err != nil {
 		n.Event(event.ConfigurationRefused).WithFields(fields).WithError(err).Warn("configuration refused")
 		return
@@ -109,7 +109,8 @@
 		return
 	}
 	n.Event(event.ConfigurationSkipped).WithFields(logrus.Fields{
-		"revision": revision, "held_revision": held.GetRevision(), "sequence": held.GetSequence(), "from": from,
+		"revision": store.NumberOf(revision), "era": store.EraOf(revision), "from": from,
+		"sequence": held.GetSequence(), "held_revision": store.NumberOf(held.GetRevision()), "held_era": store.EraOf(held.GetRevision()),
 	}).Info("configuration skipped")
 }
 
--- a/pkg/store/eras.go
+++ b/pkg/store/eras.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"strconv"
 	"sync"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
@@ -20,8 +21,25 @@
 // NewEras returns an Eras that knows no era yet.
 func NewEras(cm *common.Common) *Eras { return &Eras{Common: cm} }
 
-// Observe records the era of an answer of the store.
-func (e *Eras) Observe(era int64) {
+// Newest returns the newest era that was observed, or 0.
+func (e *Eras) Newest() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.newest
+}
+
+// Of returns the era that an answer of the store names, and records it. It returns the
+// newest known era if the answer names none that can be read.
+func (e *Eras) Of(text string) int64 {
+	era, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || era < 0 || era > maxEra {
+		return e.Newest()
+	}
+	e.observe(era)
+	return era
+}
+
+func (e *Eras) observe(era int64) {
 	e.mu.Lock()
 	before, known := e.newest, e.known
 	e.newest, e.known = max(era, before), true
