Read all keys again when a watch goes on in another era of the store

Seen by callers (in a test): the store is restored between two watches and goes on writing; a configuration that it confirms then never comes into force, and no call fails.

Cause: a watch goes on after its last revision. A store that has passed that number again answers with what came after it; what was written below it since the restoration is never seen. A watch whose answer has another era than its position now fails like one whose history is gone, and all keys are read.

The case "between two watches" of TestConfigurationAfterRestoration failed before (404 on both hosts after 2 s, wanted 200).

--- a/pkg/store/kv.go
+++ b/pkg/store/kv.go
@@ -26,7 +26,8 @@
 	List func(ctx context.Context, prefix string) ([]KeyValue, int64, error)
 	// Watch returns the changes since revision after as soon as there are any, or no
 	// changes when wait has passed, and the revision to pass to the next Watch. It
-	// fails with ErrCompacted if the store no longer keeps these changes.
+	// fails with ErrCompacted if the store no longer keeps these changes, or was restored
+	// from a copy since.
 	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
 	// Swap writes all of writes in one transaction if the first key's revision is
 	// modRevision, where 0 means that the key does not exist. Otherwise it writes
