Refuse a write on the condition of a revision of an earlier era

Seen by operators (in a test): after a restoration of the store, a write on the condition of a revision that the node read before it succeeds although another writer has written the key since; a status or a registration could be replaced by an older one.

Cause: the restored store gives the revision of a lost write to another one, so the condition holds again. Such a write is answered by the node itself as not applied, with the value that the key has now, as after any other change.

TestNumbersOfLostWrites, case "condition of a write", failed before (written over the other value). What remains: a store that is restored while the write is on its way, where the key has the same number again; the answer then has another era, and nothing undoes the write.

--- a/pkg/store/guard.go
+++ b/pkg/store/guard.go
@@ -17,5 +17,15 @@
 		}
 		return events, next, err
 	}
+	guarded.Swap = func(ctx context.Context, modRevision int64, writes ...Write) (bool, KeyValue, error) {
+		if e.isPast(modRevision) {
+			current, _, err := kv.Get(ctx, writes[0].Key)
+			return false, current, err
+		}
+		return kv.Swap(ctx, modRevision, writes...)
+	}
 	return guarded
 }
+
+// isPast reports whether a revision is of an earlier era. The revision 0 is of none.
+func (e *Eras) isPast(revision int64) bool { return revision != 0 && EraOf(revision) < e.Newest() }
