End the leases of a node with the era in which they were granted

Seen by nodes (in a test): after a restoration of the store a node renews or ends a lease that is someone else's now, and binds its keys to it. Its own registration or its leadership stays without a lease, and that of the other holder ends with a stranger's.

Cause: a restored store has lost the leases of after the copy and gives their numbers out again; the number was taken for the lease. Leases are now named by handles that are never used again; one of an earlier era has ended: it is renewed no more, ends nothing and is refused for writes, also if the first answer of the new era is the one to the renewal.

TestNumbersOfLostWrites, four cases of leases, failed before (alive, written, the other key removed).

--- a/pkg/store/guard.go
+++ b/pkg/store/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -22,10 +23,63 @@
 			current, _, err := kv.Get(ctx, writes[0].Key)
 			return false, current, err
 		}
-		return kv.Swap(ctx, modRevision, writes...)
+		numbered := slices.Clone(writes)
+		for i, w := range writes {
+			number, ok := e.leaseNumber(w.Lease)
+			if !ok {
+				return false, KeyValue{}, ErrLeaseLost
+			}
+			numbered[i].Lease = number
+		}
+		return kv.Swap(ctx, modRevision, numbered...)
+	}
+	guarded.Put = func(ctx context.Context, key string, value []byte, lease int64) error {
+		number, ok := e.leaseNumber(lease)
+		if !ok {
+			return ErrLeaseLost
+		}
+		return kv.Put(ctx, key, value, number)
 	}
+	e.guardLeases(&guarded, kv)
 	return guarded
 }
 
+// guardLeases lets a lease end with the era in which it was granted: a restored store
+// may have lost it, and may give its number to another lease. Leases are named by
+// handles instead of the store's numbers.
+func (e *Eras) guardLeases(guarded *KV, kv KV) {
+	guarded.Grant = func(ctx context.Context, ttl time.Duration) (int64, error) {
+		era, known := e.current()
+		number, err := kv.Grant(ctx, ttl)
+		if err != nil {
+			return 0, err
+		}
+		if !known {
+			era = e.Newest()
+		}
+		return e.addLease(number, era), nil
+	}
+	guarded.KeepAlive = func(ctx context.Context, lease int64) (bool, error) {
+		number, ok := e.leaseNumber(lease)
+		if ok {
+			alive, err := kv.KeepAlive(ctx, number)
+			// The answer may be the first one of another era.
+			if _, ok = e.leaseNumber(lease); err != nil || alive && ok {
+				return alive, err
+			}
+		}
+		e.forgetLease(lease)
+		return false, nil
+	}
+	guarded.Revoke = func(ctx context.Context, lease int64) error {
+		defer e.forgetLease(lease)
+		number, ok := e.leaseNumber(lease)
+		if !ok {
+			return nil
+		}
+		return kv.Revoke(ctx, number)
+	}
+}
+
 // isPast reports whether a revision is of an earlier era. The revision 0 is of none.
 func (e *Eras) isPast(revision int64) bool { return revision != 0 && EraOf(revision) < e.Newest() }
--- a/pkg/store/kv.go
+++ b/pkg/store/kv.go
@@ -10,6 +10,10 @@
 // that a watch requested. Read the keys again.
 var ErrCompacted = errors.New("the store no longer keeps the changes that the watch requested; read the keys again")
 
+// ErrLeaseLost means that a write was to be bound to a lease of before the store was
+// restored from a copy. Create another lease.
+var ErrLeaseLost = errors.New("the lease is of before the store was restored; create another lease")
+
 // Event is one change of a key. Removed is set if the key was removed.
 type Event struct {
 	KeyValue
