Recognise an order that the operators write again after a restoration

Seen by callers (in a test): the store is restored, the operators write their order again, and a version that had been rolled back gets requests as by a new order; or the store shows the order before that one for a moment, and a running canary loses its share.

Cause: an order was identified by its store revision, which another era gives anew, and the highest revision was the valid one. An order is now the same one in two eras if its version is, and keeps its verdict, its begin and its evidence; an order that the copy shows under its number of before is an earlier one; a record of a leader that has read the store in the same era decides between the two on a node that was restarted and knows neither. In one era nothing changes: the same version under a higher revision is a new order.

What remains: an order of a version again, in the new era, that no node has seen in the copy before, is taken for the lost one.

--- a/pkg/node/store_rollouts.go
+++ b/pkg/node/store_rollouts.go
@@ -49,38 +49,15 @@
 	woken      chan struct{}
 	leadership *leadership
 
-	mu sync.Mutex
-	// orders holds the newest order of each service, by service.
-	orders map[string]*trackedOrder
+	mu     sync.Mutex
+	orders *orderBook
 	// established holds the version of each service that receives the requests
 	// which no order moves, by service.
 	established map[string]string
 }
 
-// trackedOrder is this node's state of one order.
-type trackedOrder struct {
-	order rollout.Order
-	// firstSeen is when this node first received the order.
-	firstSeen time.Time
-	// record is the newest record that a leader published about this order,
-	// receivedAt its arrival.
-	record     *wire.Rollout
-	receivedAt time.Time
-	// strandedAt is when the leader first reported that it cannot reach the store.
-	strandedAt time.Time
-	// sentProgress is that of the evidence last sent; it is sent once although no
-	// request was served yet.
-	evidenceSent bool
-	sentProgress rollout.Progress
-	decisions    *orderDecisions
-}
-
-// isOpen reports whether the final state of the order has not been written to
-// the operators' status yet.
-func (t *trackedOrder) isOpen() bool { return !t.record.GetReported() }
-
 func newStoreRollouts(n *Node) *storeRollouts {
-	r := &storeRollouts{Node: n, woken: make(chan struct{}, 1), orders: make(map[string]*trackedOrder), established: make(map[string]string)}
+	r := &storeRollouts{Node: n, woken: make(chan struct{}, 1), orders: newOrderBook(), established: make(map[string]string)}
 	kv := n.adapter.KV
 	r.leadership = newLeadership(n.Common, n.settings.Node, election{
 		key:           storeLeaderKey,
@@ -109,14 +86,12 @@
 	}
 	order.Revision = kv.ModRevision
 	r.mu.Lock()
-	old := r.orders[order.Service]
-	isNew := old == nil || old.order.Revision < order.Revision
-	switch {
-	case isNew:
-		r.keepEstablished(order.Service, old)
-		r.orders[order.Service] = &trackedOrder{order: order, firstSeen: r.Now(), record: r.earlierRecord(order)}
-	case old.order.Revision == order.Revision:
-		old.order = order
+	t, replaced, isNew := r.orders.receive(order, r.Now())
+	if replaced != nil {
+		r.keepEstablished(order.Service, replaced)
+	}
+	if isNew {
+		r.adoptEarlierRecord(t, replaced)
 	}
 	r.mu.Unlock()
 	if isNew {
@@ -127,14 +102,25 @@
 	}
 }
 
-// earlierRecord returns the leader's record about an order if it arrived before
-// the order itself, else nil.
-func (r *storeRollouts) earlierRecord(order rollout.Order) *wire.Rollout {
-	record := r.records.Get(gossip.PrefixRollout + order.Service).GetRollout()
-	if record.GetOrder() != order.Revision {
-		return nil
+// adoptEarlierRecord adopts the leader's record about an order if it arrived before the
+// order itself, and is not about the order that this one replaces.
+func (r *storeRollouts) adoptEarlierRecord(t, replaced *trackedOrder) {
+	record := r.records.Get(gossip.PrefixRollout + t.order.Service)
+	update := record.GetRollout()
+	if update == nil || !t.isSame(orderOf(update)) || replaced != nil && replaced.isSame(orderOf(update)) {
+		return
+	}
+	t.record = update
+}
+
+// orderOf returns the order that a leader's record is about.
+func orderOf(update *wire.Rollout) rollout.Order {
+	return rollout.Order{
+		Service:  update.GetService(),
+		Version:  update.GetVersion(),
+		Revision: update.GetOrder(),
+		Duration: time.Duration(update.GetDurationMs()) * time.Millisecond,
 	}
-	return record
 }
 
 // keepEstablished records the version to which a completed earlier order
@@ -154,21 +140,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.orders[update.GetService()]
-	switch {
-	case t == nil || t.order.Revision < update.GetOrder():
-		r.keepEstablished(update.GetService(), t)
-		order := rollout.Order{
-			Service:  update.GetService(),
-			Version:  update.GetVersion(),
-			Revision: update.GetOrder(),
-			Duration: time.Duration(update.GetDurationMs()) * time.Millisecond,
-		}
-		t = &trackedOrder{order: order, firstSeen: r.Now()}
-		r.orders[update.GetService()] = t
-	case t.order.Revision > update.GetOrder():
+	t, replaced := r.orders.follow(orderOf(update), record.GetEpoch(), r.Now())
+	if t == nil {
 		return
 	}
+	if replaced != nil {
+		r.keepEstablished(update.GetService(), replaced)
+	}
 	t.receivedAt = r.Now()
 	switch {
 	case !update.GetStranded():
@@ -198,7 +176,7 @@
 	versions := r.endpoints.Versions(service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.orders[service]
+	t := r.orders.newest[service]
 	base := r.baseVersion(service, t, versions)
 	shares := routing.Shares{base: bundle.FullPermille}
 	if t == nil || t.record == nil {
@@ -241,7 +219,7 @@
 	versions := r.endpoints.Versions(service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.orders[service]
+	t := r.orders.newest[service]
 	if t != nil && t.record.GetState() == wire.MoveState_MOVE_STATE_DONE {
 		return version != t.order.Version
 	}
@@ -257,7 +235,7 @@
 func (r *storeRollouts) isMoving(service, version string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.orders[service]
+	t := r.orders.newest[service]
 	return t != nil && t.order.Version == version && !isFinal(t.record)
 }
 
@@ -310,7 +288,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var open []*trackedOrder
-	for _, t := range r.orders {
+	for _, t := range r.orders.newest {
 		if t.isOpen() {
 			open = append(open, t)
 		}
@@ -365,7 +343,7 @@
 		Epoch: r.members.Incarnation(),
 		Step:  uint64(r.Now().UnixMilli()),
 		Body: &wire.Record_Evidence{Evidence: &wire.Evidence{
-			Node: r.settings.Node, Service: t.order.Service, Sequence: uint64(t.order.Revision), Totals: totals, DataCentre: r.settings.DataCentre,
+			Node: r.settings.Node, Service: t.order.Service, Sequence: uint64(t.revision.Load()), Totals: totals, DataCentre: r.settings.DataCentre,
 		}},
 	}
 	r.records.Set(record)
--- a/pkg/node/store_rollouts_test.go
+++ b/pkg/node/store_rollouts_test.go
@@ -112,7 +112,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newTestRollouts(t, "v1", "v2")
 			setUp(r)
-			got := r.orders["quotes"].order.Duration
+			got := r.orders.newest["quotes"].order.Duration
 			if want := 16 * time.Second; got != want {
 				t.Errorf("the order lasts %v, want %v", got, want)
 			}
@@ -140,7 +140,7 @@
 		"leader sent a record recently":  {leaderRecord(false), leaderSilenceTimeout / 2, false},
 		"leader sends no records":        {leaderRecord(false), leaderSilenceTimeout + 10*candidacyInterval, true},
 		"leader cannot reach the store":  {leaderRecord(true), 10 * candidacyInterval, true},
-		"final state reported":           {func(r *storeRollouts) { leaderRecord(false)(r); r.orders["quotes"].record.Reported = true }, time.Minute, false},
+		"final state reported":           {func(r *storeRollouts) { leaderRecord(false)(r); r.orders.newest["quotes"].record.Reported = true }, time.Minute, false},
 		"leader reached the store again": {func(r *storeRollouts) { leaderRecord(true)(r); r.receiveDecision(40, wire.MoveState_MOVE_STATE_MOVING) }, leaderSilenceTimeout / 2, false},
 	}
 	for name, test := range tests {
@@ -165,7 +165,7 @@
 	r.Common = common.New(common.WithClock(func() time.Time { return now }))
 	r.receiveTestOrder()
 	r.receiveDecision(60, wire.MoveState_MOVE_STATE_MOVING)
-	order := r.orders["quotes"]
+	order := r.orders.newest["quotes"]
 	for failures := range uint64(6) {
 		for _, version := range []string{"v1", "v2"} {
 			r.records.Set(&wire.Record{Key: gossip.PrefixEvidence + version, Epoch: 1, Step: failures + 1, Body: &wire.Record_Evidence{Evidence: &wire.Evidence{
--- a/pkg/node/store_shares.go
+++ b/pkg/node/store_shares.go
@@ -53,7 +53,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var all []*orderDecisions
-	for _, t := range r.orders {
+	for _, t := range r.orders.newest {
 		if t.decisions != nil {
 			all = append(all, t.decisions)
 		}
@@ -67,7 +67,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t.decisions == nil {
-		move := &wire.Move{Service: t.order.Service, To: t.order.Version, Sequence: uint64(t.order.Revision)}
+		move := &wire.Move{Service: t.order.Service, To: t.order.Version, Sequence: uint64(t.revision.Load())}
 		t.decisions = &orderDecisions{evaluator: rollout.NewEvaluator(move)}
 	}
 	return t.decisions
@@ -90,7 +90,7 @@
 	r.mu.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.evaluator.Follow(r.Now(), permille, r.evidence(t.order.Service, t.order.Revision))
+	d.evaluator.Follow(r.Now(), permille, r.evidence(t.order.Service, t.revision.Load()))
 }
 
 // decideShare decides the share of one order's version and publishes it to the
@@ -102,7 +102,7 @@
 	defer d.mu.Unlock()
 	r.lead(t, d)
 	service := t.order.Service
-	d.evaluator.Observe(r.Now(), r.evidence(service, t.order.Revision))
+	d.evaluator.Observe(r.Now(), r.evidence(service, t.revision.Load()))
 	finding, changed := d.evaluator.StepBounded(rollout.BoundedInput{
 		Now:        r.Now(),
 		Deadline:   d.deadline,
@@ -190,7 +190,8 @@
 	var evidence []*wire.Evidence
 	for _, record := range r.records.List(gossip.PrefixEvidence) {
 		e := record.GetEvidence()
-		if e.GetService() == service && e.GetSequence() == uint64(order) {
+		sequence := int64(e.GetSequence())
+		if e.GetService() == service && (sequence == order || !isSameEra(sequence, order)) {
 			evidence = append(evidence, e)
 		}
 	}
@@ -229,7 +230,7 @@
 		Version:     t.order.Version,
 		State:       phase,
 		Permille:    uint32(state.Permille),
-		Order:       t.order.Revision,
+		Order:       t.revision.Load(),
 		Cause:       d.cause,
 		Node:        r.settings.Node,
 		Reported:    phase != wire.MoveState_MOVE_STATE_MOVING && isReported,
@@ -266,7 +267,7 @@
 // holds for this order.
 func (r *storeRollouts) adoptStatus(t *trackedOrder, d *orderDecisions, kv store.KeyValue) {
 	status, err := r.adapter.DecodeStatus(kv.Value)
-	if err != nil || kv.ModRevision < t.order.Revision || status.Version != t.order.Version {
+	if err != nil || kv.ModRevision < t.revision.Load() || status.Version != t.order.Version {
 		return
 	}
 	d.reportedState = status.State
