Let a leader take its own key in the store again

Seen by operators (in a test): a node whose lease of the leadership is lost finds the key of it in the store, naming itself, and waits for it to expire; meanwhile no order is decided. That is so after a restart, and after a restoration from a copy that holds the key.

Cause: any key counted as another leader. A key that names this node is replaced on the condition of its revision, so its decisions get a higher epoch; the key of another node is left alone. TestLeaderTakesOwnKeyAgain failed before (epoch 0, wanted 8).

--- a/pkg/node/leader.go
+++ b/pkg/node/leader.go
@@ -83,16 +83,18 @@
 	}
 }
 
+// acquire takes the lease unless another node has it. A key that names this node is of a
+// lease that it holds no more, as after a restart or a restoration of the store.
 func (l *leadership) acquire(ctx context.Context) {
-	_, taken, err := l.election.get(ctx, l.election.key)
-	if err != nil || taken {
+	current, taken, err := l.election.get(ctx, l.election.key)
+	if err != nil || taken && string(current.Value) != l.node {
 		return
 	}
 	lease, err := l.election.grant(ctx, l.election.leaseTTL)
 	if err != nil {
 		return
 	}
-	swapped, kv, err := l.election.swap(ctx, 0, store.Write{Key: l.election.key, Value: []byte(l.node), Lease: lease})
+	swapped, kv, err := l.election.swap(ctx, current.ModRevision, store.Write{Key: l.election.key, Value: []byte(l.node), Lease: lease})
 	if err != nil || !swapped {
 		return
 	}
