Write the final state of a move again that a restored store has lost

Seen by operators (in a test): a move is completed, the store is restored from a copy, and the status of the order is missing or "running" for good; the operators keep the old version and never read how the move ended.

Cause: an order counts as finished once its final state was written, and nobody looks at it again. It is open again in a new era of the store until a leader of that era has confirmed the status; the leader writes it if it is lost, and publishes meanwhile that the move is done, as it was published before, so that the old version gets nothing.

TestStatusAfterRestoration failed before in both cases (status "running" and none, wanted completed). One election and one read for each restoration, only where orders are known.

--- a/pkg/node/store_adapter.go
+++ b/pkg/node/store_adapter.go
@@ -19,7 +19,9 @@
 // key-value store, its header names and key prefixes, and the encoding of its
 // documents.
 type StoreAdapter struct {
-	KV      store.KV
+	KV store.KV
+	// Era returns the newest known era of the store.
+	Era     func() int64
 	Headers request.Headers
 	// OperatorPrefix is the prefix of the keys that operators write,
 	// ConfigurationKey and those under OrderPrefix among them.
--- a/pkg/node/store_orders.go
+++ b/pkg/node/store_orders.go
@@ -23,9 +23,10 @@
 	// firstSeen is when this node first received the order.
 	firstSeen time.Time
 	// record is the newest record that a leader published about this order,
-	// receivedAt its arrival.
+	// receivedAt its arrival, epoch that of the leader.
 	record     *wire.Rollout
 	receivedAt time.Time
+	epoch      uint64
 	// strandedAt is when the leader first reported that it cannot reach the store.
 	strandedAt time.Time
 	// sentProgress is that of the evidence last sent; it is sent once although no
@@ -41,9 +42,12 @@
 	return t
 }
 
-// isOpen reports whether the final state of the order has not been written to
-// the operators' status yet.
-func (t *trackedOrder) isOpen() bool { return !t.record.GetReported() }
+// isOpen reports whether the final state of the order has not been confirmed in the
+// operators' status in the present era of the store. A restored store may have lost
+// it.
+func (t *trackedOrder) isOpen(era int64) bool {
+	return !t.record.GetReported() || store.EraOf(int64(t.epoch)) < era
+}
 
 // orderBook holds the newest order of each service and some earlier ones. It is not
 // safe for concurrent use.
--- a/pkg/node/store_rollouts.go
+++ b/pkg/node/store_rollouts.go
@@ -110,7 +110,7 @@
 	if update == nil || !t.isSame(orderOf(update)) || replaced != nil && replaced.isSame(orderOf(update)) {
 		return
 	}
-	t.record = update
+	t.record, t.epoch = update, record.GetEpoch()
 }
 
 // orderOf returns the order that a leader's record is about.
@@ -157,6 +157,7 @@
 	if isFinal(t.record) && !isFinal(update) {
 		return
 	}
+	t.epoch = record.GetEpoch()
 	if t.record.GetState() != update.GetState() || t.record.GetPermille() != update.GetPermille() {
 		r.Event(event.ShareChanged).WithFields(logrus.Fields{
 			"service": update.GetService(), "version": update.GetVersion(), "permille": update.GetPermille(),
@@ -282,14 +283,15 @@
 	r.leadership.resign()
 }
 
-// openOrders returns the orders whose final state has not been reported to the
-// operators.
+// openOrders returns the orders whose final state is not known to be in the operators'
+// status.
 func (r *storeRollouts) openOrders() []*trackedOrder {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var open []*trackedOrder
+	era := r.adapter.Era()
 	for _, t := range r.orders.newest {
-		if t.isOpen() {
+		if t.isOpen(era) {
 			open = append(open, t)
 		}
 	}
--- a/pkg/node/store_rollouts_test.go
+++ b/pkg/node/store_rollouts_test.go
@@ -24,7 +24,7 @@
 	n := &Node{Common: common.New(), settings: config.Settings{Node: "self", DataCentre: "plateau"}}
 	n.adapter = &StoreAdapter{DecodeOrder: func([]byte) (rollout.Order, error) {
 		return rollout.Order{Service: "quotes", Version: "v2", Duration: 16 * time.Second}, nil
-	}}
+	}, Era: func() int64 { return 0 }}
 	n.records = gossip.New()
 	n.members = fleet.NewMembers(n.Common, n.records, &wire.Member{Node: "self", DataCentre: "plateau"})
 	n.endpoints = fleet.NewEndpoints(n.records, n.members)
--- a/pkg/node/store_shares.go
+++ b/pkg/node/store_shares.go
@@ -222,7 +222,7 @@
 	d.step++
 	state := d.evaluator.State()
 	phase, isReported := state.Phase, d.reportedState == rollout.PhaseName(state.Phase)
-	if phase == wire.MoveState_MOVE_STATE_DONE && !isReported {
+	if phase == wire.MoveState_MOVE_STATE_DONE && !isReported && !r.isDone(t) {
 		phase = wire.MoveState_MOVE_STATE_MOVING
 	}
 	decision := &wire.Rollout{
@@ -246,6 +246,13 @@
 	}
 }
 
+// isDone reports whether a leader has published that an order is done.
+func (r *storeRollouts) isDone(t *trackedOrder) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return t.record.GetState() == wire.MoveState_MOVE_STATE_DONE
+}
+
 // readStatus reads the operators' status of the order and reports whether the
 // store answered.
 func (r *storeRollouts) readStatus(ctx context.Context, t *trackedOrder, d *orderDecisions) bool {
