--- a/pkg/node/leader_test.go
+++ b/pkg/node/leader_test.go
@@ -23,18 +23,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			l := newLeadership(common.New(), "self", election{
-				key: "steward", leaseTTL: time.Second, renewInterval: time.Second,
-				get:   func(context.Context, string) (store.KeyValue, bool, error) { return test.key, test.key.Key != "", nil },
-				grant: func(context.Context, time.Duration) (int64, error) { return 1, nil },
-				swap: func(_ context.Context, modRevision int64, writes ...store.Write) (bool, store.KeyValue, error) {
-					if modRevision != test.key.ModRevision {
-						return false, test.key, nil
-					}
-					return true, store.KeyValue{Key: writes[0].Key, Value: writes[0].Value, ModRevision: 8}, nil
-				},
-				eligible: func() bool { return true },
-			})
+			l := newLeadership(common.New(), "self", newTestElection(test.key))
 			l.tick(t.Context(), true)
 			if got := l.epoch.Load(); got != test.want {
 				t.Errorf("got epoch %d, want %d", got, test.want)
@@ -42,3 +31,20 @@
 		})
 	}
 }
+
+// newTestElection returns an election over a store that holds one key or none. A write
+// gets the revision 8.
+func newTestElection(held store.KeyValue) election {
+	return election{
+		key: "steward", leaseTTL: time.Second, renewInterval: time.Second,
+		get:   func(context.Context, string) (store.KeyValue, bool, error) { return held, held.Key != "", nil },
+		grant: func(context.Context, time.Duration) (int64, error) { return 1, nil },
+		swap: func(_ context.Context, modRevision int64, writes ...store.Write) (bool, store.KeyValue, error) {
+			if modRevision != held.ModRevision {
+				return false, held, nil
+			}
+			return true, store.KeyValue{Key: writes[0].Key, Value: writes[0].Value, ModRevision: 8}, nil
+		},
+		eligible: func() bool { return true },
+	}
+}
