Count the evidence about an order that was written again

Cause: the leader's history counts only evidence with the sequence that its evaluator began with, the revision of the order of before the restoration; nodes that had read the order again sent theirs under the new one. 64 requests on the new version counted at 18.6 s and still 64 at 21.4 s, when the move was done. Evidence of both eras now enters the history under the revision that the order had first on this node.

TestEvidenceAfterRestoration failed before (0 requests count, wanted 50). Ruled out by the same log: a lost leader (it was elected again 1.1 s after each restoration) and a lost share.

--- a/pkg/node/store_orders_test.go
+++ b/pkg/node/store_orders_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
 	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
@@ -103,3 +104,39 @@
 		})
 	}
 }
+
+// TestEvidenceAfterRestoration guards against a bad version whose failures no longer count
+// because the operators wrote its order again, under a revision of another era.
+func TestEvidenceAfterRestoration(t *testing.T) {
+	tests := map[string]struct {
+		sequence int64
+		want     uint64
+	}{
+		"node that has not read the order again":  {store.InEra(1, 29), 50},
+		"node that has read the order again":      {store.InEra(2, 20), 50},
+		"evidence about another order of its era": {store.InEra(2, 19), 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			r := newTestRollouts(t, "v1", "v2")
+			r.Common = common.New(common.WithClock(func() time.Time { return now }))
+			r.receiveOrder(store.KeyValue{Key: "orders/quotes", ModRevision: store.InEra(1, 29)})
+			order := r.orders.newest["quotes"]
+			r.followEvidence(order)
+			r.receiveOrder(store.KeyValue{Key: "orders/quotes", ModRevision: store.InEra(2, 20)})
+			for failures := range uint64(6) {
+				r.records.Set(&wire.Record{Key: gossip.PrefixEvidence + "n", Epoch: 1, Step: failures + 1, Body: &wire.Record_Evidence{Evidence: &wire.Evidence{
+					Node: "n", Service: "quotes", Sequence: uint64(test.sequence), Totals: []*wire.RouteTotals{
+						{Version: "v1", Route: "r", Requests: 10 * failures}, {Version: "v2", Route: "r", Requests: 10 * failures, Failures: failures},
+					},
+				}}})
+				r.followEvidence(order)
+				now = now.Add(decisionInterval)
+			}
+			if got := r.decisionsFor(order).evaluator.Comparisons()[0].NewTrials; got != test.want {
+				t.Errorf("%d requests on the new version count, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/pkg/node/store_shares.go
+++ b/pkg/node/store_shares.go
@@ -67,7 +67,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t.decisions == nil {
-		move := &wire.Move{Service: t.order.Service, To: t.order.Version, Sequence: uint64(t.revision.Load())}
+		move := &wire.Move{Service: t.order.Service, To: t.order.Version, Sequence: uint64(t.order.Revision)}
 		t.decisions = &orderDecisions{evaluator: rollout.NewEvaluator(move)}
 	}
 	return t.decisions
@@ -90,7 +90,7 @@
 	r.mu.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.evaluator.Follow(r.Now(), permille, r.evidence(t.order.Service, t.revision.Load()))
+	d.evaluator.Follow(r.Now(), permille, r.evidence(t))
 }
 
 // decideShare decides the share of one order's version and publishes it to the
@@ -102,7 +102,7 @@
 	defer d.mu.Unlock()
 	r.lead(t, d)
 	service := t.order.Service
-	d.evaluator.Observe(r.Now(), r.evidence(service, t.revision.Load()))
+	d.evaluator.Observe(r.Now(), r.evidence(t))
 	finding, changed := d.evaluator.StepBounded(rollout.BoundedInput{
 		Now:        r.Now(),
 		Deadline:   d.deadline,
@@ -186,14 +186,19 @@
 	d.deadline = d.begun.Add(t.order.Duration)
 }
 
-func (r *storeRollouts) evidence(service string, order int64) []*wire.Evidence {
+// evidence returns the evidence about an order under the revision that it had first on
+// this node. Other nodes may know it under the one of another era.
+func (r *storeRollouts) evidence(t *trackedOrder) []*wire.Evidence {
 	var evidence []*wire.Evidence
 	for _, record := range r.records.List(gossip.PrefixEvidence) {
 		e := record.GetEvidence()
 		sequence := int64(e.GetSequence())
-		if e.GetService() == service && (sequence == order || !isSameEra(sequence, order)) {
-			evidence = append(evidence, e)
+		if e.GetService() != t.order.Service || isSameEra(sequence, t.revision.Load()) && sequence != t.revision.Load() {
+			continue
 		}
+		evidence = append(evidence, &wire.Evidence{
+			Node: e.GetNode(), Service: e.GetService(), Sequence: uint64(t.order.Revision), Totals: e.GetTotals(), DataCentre: e.GetDataCentre(),
+		})
 	}
 	return evidence
 }
