--- a/pkg/distribution/snapshots.go
+++ b/pkg/distribution/snapshots.go
@@ -44,15 +44,21 @@
 	return &Snapshots{Common: cm, decode: decode, onEnforced: onEnforced, peers: make(map[string]uint64)}
 }
 
-// Offer enforces a snapshot if it is newer than the one held and valid. Nothing
-// of a refused snapshot is kept. A snapshot whose store revision is not newer is
-// refused with KindStale without decoding its content.
+// Offer enforces a snapshot that was read from the store if it is newer than the one
+// held and valid. Nothing of a refused snapshot is kept. A snapshot whose store revision
+// is not newer is refused with KindStale without decoding its content.
 func (s *Snapshots) Offer(revision int64, content []byte) error {
 	s.offerMu.Lock()
 	defer s.offerMu.Unlock()
 	if revision <= s.newest.Load().GetRevision() {
 		return errStale
 	}
+	return s.enforce(revision, content)
+}
+
+// enforce enforces a snapshot if it is newer than the one held and valid. The caller
+// holds s.offerMu.
+func (s *Snapshots) enforce(revision int64, content []byte) error {
 	sequence, parts, err := s.decode(content)
 	if err != nil {
 		return s.refuse("undecodable", err)
@@ -77,17 +83,21 @@
 // snapshot with the given sequence, or nil when there is none.
 func (s *Snapshots) PackedFor(held uint64) (*wire.Snapshot, error) { return s.packer.pack(held) }
 
-// OfferPacked decompresses a snapshot that another node packed and offers it. It
-// fails with KindMissing when this node does not keep the base of the snapshot.
+// OfferPacked decompresses a snapshot that another node packed and enforces it if it is
+// newer. Its revision does not tell: the other node may hold a newer snapshot that a
+// restored store has lost. OfferPacked fails with KindMissing when this node does not
+// keep the base of the snapshot.
 func (s *Snapshots) OfferPacked(packed *wire.Snapshot) error {
-	if packed.GetRevision() <= s.newest.Load().GetRevision() {
+	if packed.GetSequence() <= s.Sequence() {
 		return errStale
 	}
 	content, err := s.packer.unpack(packed)
 	if err != nil {
 		return err
 	}
-	return s.Offer(packed.GetRevision(), content)
+	s.offerMu.Lock()
+	defer s.offerMu.Unlock()
+	return s.enforce(packed.GetRevision(), content)
 }
 
 func (s *Snapshots) refuse(reason string, err error) error {
--- a/pkg/distribution/snapshots_test.go
+++ b/pkg/distribution/snapshots_test.go
@@ -53,3 +53,28 @@
 		})
 	}
 }
+
+// TestSnapshotOfPeerThatStoreLost guards against a node that keeps the older snapshot of a
+// restored store, at a revision of the present era, although a peer holds the newer one
+// that the store has lost.
+func TestSnapshotOfPeerThatStoreLost(t *testing.T) {
+	const lost, present = 12, 900
+	sender := NewSnapshots(common.New(), decodeTestContent, func(*routing.Table) {})
+	if err := sender.Offer(lost, []byte("\x05")); err != nil {
+		t.Fatal(err)
+	}
+	packed, err := sender.PackedFor(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewSnapshots(common.New(), decodeTestContent, func(*routing.Table) {})
+	if err := s.Offer(present, []byte("\x03")); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.OfferPacked(packed); err != nil || s.Sequence() != 5 {
+		t.Errorf("got sequence %d and %v, want 5", s.Sequence(), err)
+	}
+	if err := s.Offer(present+1, []byte("\x07")); err != nil || s.Sequence() != 7 {
+		t.Errorf("got sequence %d and %v, want 7", s.Sequence(), err)
+	}
+}
