--- a/pkg/node/store_rollouts.go
+++ b/pkg/node/store_rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/event"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
 	"github.com/hibiscusrock/hibiscusrock/pkg/gossip"
 	"github.com/hibiscusrock/hibiscusrock/pkg/rollout"
 	"github.com/hibiscusrock/hibiscusrock/pkg/routing"
@@ -79,6 +81,9 @@
 // tracked one.
 func (r *storeRollouts) receiveOrder(kv store.KeyValue) {
 	order, err := r.adapter.DecodeOrder(kv.Value)
+	if err == nil && kv.Key != r.adapter.OrderPrefix+order.Service {
+		err = fault.New(fault.KindInvalid, "the order is for the service "+strconv.Quote(order.Service)+", which its key does not name", "write the order under the key of its service")
+	}
 	if err != nil {
 		r.Count(`hibiscusrock_orders_refused_total`)
 		r.Event(event.OrderRefused).WithField("key", kv.Key).WithError(err).Warn("order refused")
--- a/pkg/node/store_rollouts_test.go
+++ b/pkg/node/store_rollouts_test.go
@@ -22,7 +22,7 @@
 func newTestRollouts(t *testing.T, versions ...string) *storeRollouts {
 	t.Helper()
 	n := &Node{Common: common.New(), settings: config.Settings{Node: "self", DataCentre: "plateau"}}
-	n.adapter = &StoreAdapter{DecodeOrder: func([]byte) (rollout.Order, error) {
+	n.adapter = &StoreAdapter{OrderPrefix: "orders/", DecodeOrder: func([]byte) (rollout.Order, error) {
 		return rollout.Order{Service: "quotes", Version: "v2", Duration: 16 * time.Second}, nil
 	}, Era: func() int64 { return 0 }}
 	n.records = gossip.New()
