Adopt only records that this node may have published

Seen here in a test: a registration under the key of a node names an instance of another node or one without a usable address; the node adopts it when it starts, publishes it as its own, and other nodes send it requests.

Cause: the entry was believed because of its key. A record that does not name this node, or has no address though it is not a leave, is passed over.

TestOddEntries, "of another node" and "of an odd instance", failed before with the new check of the node's state.

--- a/pkg/node/store_bootstrapper.go
+++ b/pkg/node/store_bootstrapper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -130,7 +131,7 @@
 // meant for, so another backend server that has since taken over the address
 // refuses them.
 func (b *storeBootstrapper) adopt(record *wire.Endpoint) {
-	if b.Now().Sub(b.startedAt) > adoptionPeriod || record.GetDown() {
+	if b.Now().Sub(b.startedAt) > adoptionPeriod || record.GetDown() || !b.isOwn(record) {
 		return
 	}
 	if b.owner.Adopt(record) {
@@ -138,6 +139,14 @@
 	}
 }
 
+// isOwn reports whether a record is one that this node may have published. One of a
+// backend server that left before it announced itself has no address.
+func (b *storeBootstrapper) isOwn(record *wire.Endpoint) bool {
+	_, err := netip.ParseAddrPort(record.GetAddress())
+	isUsable := err == nil || record.GetDraining()
+	return record.GetNode() == b.settings.Node && record.GetInstance() != "" && isUsable
+}
+
 // hasJoined reports whether this node has received from the deployment what an
 // earlier incarnation may have been sent, or has waited joinTimeout for it.
 func (b *storeBootstrapper) hasJoined() bool { return b.joined.Load() }
