Take no refusal that names no request for the answer to the next one

Report of other operators: an instance wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that it ran. Real here, in a test: a request that is not idempotent and runs is answered 503 when the repeated refusal has no request identifier, on both hosts; such a 503 also lets the node or the client run it a second time.

Cause: an answer without an identifier counted as matching, because some backend servers never repeat one. Once a backend server has repeated an identifier, an answer without one belongs to no request: the next answer on the connection is awaited, and without one the outcome is unknown. A connection is not used again after a refusal, so a copy that follows it meets no other request, not even the same one sent again under the same identifier.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -268,6 +268,8 @@
 	stop func() bool
 	// complete reports whether the body was read to its end.
 	complete bool
+	// last is set when the connection must not carry another request.
+	last bool
 }
 
 // Status returns the status code.
@@ -320,10 +322,13 @@
 	return &Answer{client: a.client, conn: a.conn, resp: resp, stop: a.stop}, nil
 }
 
+// CloseConnection lets Close close the connection also after the whole answer.
+func (a *Answer) CloseConnection() { a.last = true }
+
 // Close ends the exchange. The connection is reused when the body was read to its
 // end and nothing arrived after it; otherwise it is closed.
 func (a *Answer) Close() {
-	if !a.stop() || !a.complete || !a.conn.isReusable(a.resp) {
+	if !a.stop() || !a.complete || a.last || !a.conn.isReusable(a.resp) {
 		_ = a.conn.raw.Close()
 		return
 	}
--- a/pkg/request/backends.go
+++ b/pkg/request/backends.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -72,6 +73,8 @@
 	cancelUp context.CancelFunc
 	client   *backend.Client
 	close    func()
+	// repeatsID is set once the backend server has repeated a request identifier.
+	repeatsID atomic.Bool
 
 	gate    *admission.Gate
 	breaker *admission.Breaker
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -69,6 +69,7 @@
 	}
 	defer answer.Close()
 	if r.isReplaced(answer) {
+		answer.CloseConnection()
 		// Another backend server has the address, so the expected one is gone.
 		r.outcome = admission.Failed
 		r.owner.markDown(r.backend)
@@ -77,6 +78,8 @@
 	r.applyRateLimit(answer)
 	r.applyLeaving(answer)
 	if r.isShed(answer) {
+		// A faulty backend server may write the refusal once more.
+		answer.CloseConnection()
 		return r.refuseShed(answer)
 	}
 	return r.deliver(ctx, answer, incarnation)
@@ -206,11 +209,17 @@
 }
 
 // isMatching reports whether an answer belongs to this request. An answer without
-// a request identifier is taken as matching, because some backend servers do not
-// repeat it.
+// a request identifier is taken as matching only from a backend server that has not
+// repeated one yet, because some backend servers never do.
 func (r *run) isMatching(answer *backend.Answer) bool {
 	id := answer.Header().Get(r.owner.headers.RequestID)
-	return id == "" || id == r.requestID
+	if id == "" && r.requestID != "" {
+		return !r.backend.repeatsID.Load()
+	}
+	if id != "" && id == r.requestID {
+		r.backend.repeatsID.Store(true)
+	}
+	return id == r.requestID
 }
 
 func (r *run) newRequest() *backend.Request {
