End a long watch when a shorter one is due

Seen by callers (in a test): a node that takes over the short watch of the store from another one stays in its own long watch, up to 20 s, and notices only then that the store delivers nothing on it.

Cause: the wait of a watch was asked for when it began. It is asked for again while the watch waits; one that has waited for longer than a watch that begins now is ended and goes on from the same revision, without a read of all keys and without counting as a lost store.

TestWatchIsShortened failed before (the long watch still waits after 1.6 s).

--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
@@ -22,6 +23,9 @@
 	maxRetryPause = time.Second
 )
 
+// errShorterWait ends a watch that waits for longer than one that begins now.
+var errShorterWait = errors.New("a watch is to wait for less time")
+
 // Follower reads all keys under a prefix and then reports their changes to callbacks.
 type Follower struct {
 	*common.Common
@@ -54,7 +58,8 @@
 
 // WithWait sets the function that returns the time that the next watch waits for
 // changes. This time bounds how long a broken connection stays undetected. 0
-// skips the watch; the function is then called again after 300 ms.
+// skips the watch; the function is then called again after 300 ms. It is also called
+// while a watch waits, and a shorter time ends the watch that has waited for it.
 func WithWait(wait func() time.Duration) FollowerOption {
 	return func(f *Follower) { f.nextWait = wait }
 }
@@ -112,7 +117,10 @@
 			common.Sleep(ctx, noWatchPause)
 			continue
 		}
-		events, next, err := f.kv.Watch(ctx, f.prefix, revision, wait)
+		events, next, err := f.watchOnce(ctx, revision, wait)
+		if errors.Is(err, errShorterWait) {
+			continue
+		}
 		if err != nil {
 			f.Count(`hibiscusrock_store_watch_breaks_total`)
 			return err
@@ -125,3 +133,34 @@
 	}
 	return ctx.Err()
 }
+
+// watchOnce runs one watch. It fails with errShorterWait if a watch that began now would
+// wait for less time than this one has waited.
+func (f *Follower) watchOnce(ctx context.Context, revision int64, wait time.Duration) ([]Event, int64, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	began := f.Now()
+	ticker := time.NewTicker(noWatchPause)
+	defer ticker.Stop()
+	checked := make(chan struct{})
+	go func() {
+		defer close(checked)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			if next := f.nextWait(); next > 0 && next < wait && f.Now().Sub(began) >= next {
+				cancel(errShorterWait)
+			}
+		}
+	}()
+	events, next, err := f.kv.Watch(ctx, f.prefix, revision, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errShorterWait) {
+		err = errShorterWait
+	}
+	cancel(nil)
+	<-checked
+	return events, next, err
+}
