Notice that a caller leaves also when nothing more is read of its connection

Seen by backend servers (in a test): a request goes on, and is sent on, after its caller left, if the request said Connection: close or was HTTP/1.0, and during the last part of a stop.

Cause: the end of a caller's connection was noticed only by the read for the next request, and after the last request nothing is read. While such requests are answered the connection is now watched: its end cancels them, input of a further request stays unread, and the watch ends with the answers.

--- a/pkg/listener/conn.go
+++ b/pkg/listener/conn.go
@@ -46,18 +46,23 @@
 	waiting bool
 	// broken is set when nothing can be written any more.
 	broken bool
+	// lastBody is the body that was begun last, or nil.
+	lastBody *body
+	// answered is closed when no handler runs and nothing more is read.
+	answered chan struct{}
 	// lastSent is set when an answer with Connection: close was sent.
 	lastSent bool
 }
 
 func newConn(ctx context.Context, s *Server, raw net.Conn) *conn {
 	c := &conn{
-		server:  s,
-		raw:     raw,
-		reader:  newRequestReader(raw, s.limits),
-		changed: make(chan struct{}, 1),
-		closing: make(chan struct{}),
-		done:    make(chan struct{}),
+		server:   s,
+		raw:      raw,
+		reader:   newRequestReader(raw, s.limits),
+		changed:  make(chan struct{}, 1),
+		closing:  make(chan struct{}),
+		answered: make(chan struct{}),
+		done:     make(chan struct{}),
 	}
 	c.held.max = s.limits.AheadBytes
 	c.ctx, c.cancel = context.WithCancel(ctx)
@@ -74,7 +79,10 @@
 	for reading := true; reading; {
 		reading = c.awaitRoom() && c.readRequest()
 	}
+	watched := c.watchCaller()
 	c.awaitAnswers()
+	c.endWatch()
+	<-watched
 	c.linger()
 	_ = c.raw.Close()
 	c.server.held.add(-c.held.used.Load())
@@ -198,6 +206,9 @@
 	x.request = req
 	x.answer = newAnswer(c, x)
 	c.mu.Lock()
+	if x.body != nil {
+		c.lastBody = x.body
+	}
 	if c.pipeline.first() == nil {
 		close(x.turn)
 	} else {
@@ -356,6 +367,56 @@
 	c.callerGone()
 }
 
+// watchCaller ends all requests if the caller leaves while they are answered and nothing
+// more is read. Input that belongs to a further request stays unread and ends the watch.
+// The channel is closed at its end.
+func (c *conn) watchCaller() <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if !c.awaitBody() {
+			return
+		}
+		var netErr net.Error
+		if err := c.reader.awaitByte(); err != nil && !(errors.As(err, &netErr) && netErr.Timeout()) {
+			c.callerGone()
+		}
+	}()
+	return ended
+}
+
+// awaitBody waits until the body that is being read has ended. It returns false when all
+// requests are answered.
+func (c *conn) awaitBody() bool {
+	c.mu.Lock()
+	body := c.lastBody
+	c.mu.Unlock()
+	if body != nil {
+		select {
+		case <-body.ended:
+		case <-c.answered:
+			return false
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.answered:
+		return false
+	default:
+	}
+	_ = c.raw.SetReadDeadline(time.Time{})
+	return true
+}
+
+// endWatch ends the watch of a caller that has its answers.
+func (c *conn) endWatch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.answered)
+	_ = c.raw.SetReadDeadline(past)
+}
+
 // awaitAnswers waits until the handlers have returned and the answers are sent.
 func (c *conn) awaitAnswers() {
 	for {
--- a/pkg/listener/server_test.go
+++ b/pkg/listener/server_test.go
@@ -553,3 +553,89 @@
 		}
 	}
 }
+
+// TestCallerGoneIsNoticedWhenNothingIsRead guards against a request that goes on after its
+// caller left, because the server reads no further requests of the connection.
+func TestCallerGoneIsNoticedWhenNothingIsRead(t *testing.T) {
+	stop := func(s *Server) {
+		go func() { _ = s.Shutdown(context.Background()) }()
+		waitFor(t, "the stop begins", s.isStopping)
+		time.Sleep(50 * time.Millisecond)
+	}
+	tests := map[string]struct {
+		request string
+		begun   func(s *Server)
+		leave   func(c *caller)
+	}{
+		"the only request of its connection":      {"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", func(*Server) {}, (*caller).close},
+		"HTTP/1.0":                                {"GET /x HTTP/1.0\r\nHost: h\r\n\r\n", func(*Server) {}, (*caller).close},
+		"the only request, not idempotent":        {"POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab", func(*Server) {}, (*caller).close},
+		"during a stop":                           {get("/x"), stop, (*caller).close},
+		"not idempotent, during a stop":           {"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab", stop, (*caller).close},
+		"the only request, reset":                 {"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", func(*Server) {}, (*caller).reset},
+		"a connection that would be used further": {get("/x"), func(*Server) {}, (*caller).close},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			started, ended := make(chan struct{}), make(chan struct{})
+			s, address := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				close(started)
+				<-r.Context().Done()
+				close(ended)
+			}, DefaultLimits())
+			c := dial(t, address)
+			c.send(test.request)
+			<-started
+			test.begun(s)
+			test.leave(c)
+			select {
+			case <-ended:
+			case <-time.After(testTimeout / 5):
+				t.Errorf("the request still runs %v after its caller left", testTimeout/5)
+				_ = s.Shutdown(canceledContext())
+			}
+		})
+	}
+}
+
+// TestStopBesideUnreadBody guards against a stop that waits for a request which was read
+// ahead and will not be run, and whose long body nobody reads.
+func TestStopBesideUnreadBody(t *testing.T) {
+	const length = 1 << 20
+	release, started := make(chan struct{}), make(chan struct{})
+	s, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		<-release
+		_, _ = io.WriteString(w, "answer")
+	}, DefaultLimits())
+	c := dial(t, address)
+	c.send(get("/slow") + fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", length))
+	<-started
+	waitFor(t, "the second request is read", func() bool { return s.held.used.Load() > 0 })
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout/2)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(ctx) }()
+	waitFor(t, "the stop begins", s.isStopping)
+	close(release)
+	if err := <-stopped; err != nil {
+		t.Errorf("the stop ended with %v, want no error", err)
+	}
+	c.wantAnswer(http.StatusOK, "answer")
+}
+
+func canceledContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+func (c *caller) close() { _ = c.raw.Close() }
+
+// reset ends the connection without a regular close.
+func (c *caller) reset() {
+	_ = c.raw.(*net.TCPConn).SetLinger(0)
+	_ = c.raw.Close()
+}
