--- /dev/null
+++ b/review/rig/instance.go
@@ -0,0 +1,209 @@
+package rig
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Headers of the platform.
+const (
+	AttemptID  = "X-Hibiscusrock-Attempt-Id"
+	DeadlineMS = "X-Hibiscusrock-Deadline-Ms"
+	Seal       = "X-Hibiscusrock-Server-Seal"
+	notRun     = "X-Hibiscusrock-Not-Executed"
+	expected   = "X-Hibiscusrock-Expect-Instance"
+)
+
+const heartbeatInterval = 1500 * time.Millisecond
+
+// Run is one request that an instance began to work on.
+type Run struct {
+	ID       string
+	Instance string
+	Method   string
+	Target   string
+	Body     string
+	At       time.Time
+}
+
+// Instance is a stand-in of an application instance.
+type Instance struct {
+	ID      string
+	Service string
+	Version string
+	Slots   int
+	Work    time.Duration
+	// Handle answers a request instead of the normal answer if it is not nil.
+	Handle func(conn net.Conn, r *http.Request, body string) (keep bool)
+
+	rig      *Rig
+	node     *Node
+	listener net.Listener
+	born     int64
+	seqNo    atomic.Int64
+	state    atomic.Value
+	silent   atomic.Bool
+	running  atomic.Int64
+	stopped  chan struct{}
+
+	mu   sync.Mutex
+	runs []Run
+}
+
+// InstanceOption configures an Instance.
+type InstanceOption func(*Instance)
+
+// WithWork sets the time that a request takes.
+func WithWork(d time.Duration) InstanceOption { return func(i *Instance) { i.Work = d } }
+
+// WithSlots sets the number of slots.
+func WithSlots(n int) InstanceOption { return func(i *Instance) { i.Slots = n } }
+
+// StartInstance starts an instance on the machine of a node, with heartbeats.
+func (r *Rig) StartInstance(n *Node, id, service, version string, opts ...InstanceOption) (*Instance, error) {
+	listener, err := net.Listen("tcp", n.IP+":0")
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{ID: id, Service: service, Version: version, Slots: 9, Work: 50 * time.Millisecond, rig: r, node: n, listener: listener, born: time.Now().UnixMilli(), stopped: make(chan struct{})}
+	i.state.Store("ready")
+	for _, opt := range opts {
+		opt(i)
+	}
+	go i.accept()
+	go i.beat()
+	return i, nil
+}
+
+// Address returns the address of the instance.
+func (i *Instance) Address() string { return i.listener.Addr().String() }
+
+// Runs returns what the instance ran so far.
+func (i *Instance) Runs() []Run {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]Run(nil), i.runs...)
+}
+
+// Stop ends the instance.
+func (i *Instance) Stop() {
+	close(i.stopped)
+	_ = i.listener.Close()
+}
+
+// SetState sets the state of later heartbeats.
+func (i *Instance) SetState(state string) { i.state.Store(state) }
+
+// Silence stops the heartbeats.
+func (i *Instance) Silence() { i.silent.Store(true) }
+
+func (i *Instance) beat() {
+	for {
+		if !i.silent.Load() {
+			_, _ = i.Heartbeat()
+		}
+		select {
+		case <-i.stopped:
+			return
+		case <-time.After(heartbeatInterval):
+		}
+	}
+}
+
+// Heartbeat sends the next status report and returns the status of its answer.
+func (i *Instance) Heartbeat() (int, error) {
+	return i.Report(i.state.Load().(string), i.seqNo.Add(1))
+}
+
+// NextNumber takes the number of a status report that is sent later.
+func (i *Instance) NextNumber() int64 { return i.seqNo.Add(1) }
+
+// Report sends a status report with a number.
+func (i *Instance) Report(state string, seqNo int64) (int, error) {
+	return i.call("instances.heartbeat", map[string]any{
+		"address": i.Address(), "born": i.born,
+		"info":   map[string]any{"service": i.Service, "version": i.Version, "zone": i.node.Zone, "slots": i.Slots},
+		"status": map[string]any{"state": state, "seq-no": seqNo, "cold-left-s": 0},
+	})
+}
+
+// Deregister says that the instance leaves, and returns the status of the answer.
+func (i *Instance) Deregister() (int, error) {
+	return i.call("instances.deregister", map[string]any{"born": i.born})
+}
+
+func (i *Instance) call(name string, in any) (int, error) {
+	data, err := json.Marshal(in)
+	if err != nil {
+		return 0, err
+	}
+	client := &http.Client{Timeout: time.Second}
+	resp, err := client.Post("http://"+i.node.Control+"/v1/rpc?call="+name+"&of="+i.ID, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, nil
+}
+
+func (i *Instance) accept() {
+	for {
+		conn, err := i.listener.Accept()
+		if err != nil {
+			return
+		}
+		go i.serve(conn)
+	}
+}
+
+func (i *Instance) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !i.answer(conn, r, string(body)) {
+			return
+		}
+	}
+}
+
+func (i *Instance) answer(conn net.Conn, r *http.Request, body string) bool {
+	if want := r.Header.Get(expected); want != "" && want != i.ID {
+		return i.Write(conn, r, http.StatusMisdirectedRequest, "", "")
+	}
+	if i.running.Add(1) > int64(i.Slots) {
+		i.running.Add(-1)
+		return i.Write(conn, r, http.StatusServiceUnavailable, notRun+": 1\r\n", "")
+	}
+	defer i.running.Add(-1)
+	run := Run{ID: r.Header.Get(AttemptID), Instance: i.ID, Method: r.Method, Target: r.RequestURI, Body: body, At: time.Now()}
+	i.mu.Lock()
+	i.runs = append(i.runs, run)
+	i.mu.Unlock()
+	i.rig.Note("run", "request %s runs on %s: %s %s", run.ID, i.ID, r.Method, r.RequestURI)
+	if i.Handle != nil {
+		return i.Handle(conn, r, body)
+	}
+	time.Sleep(i.Work)
+	return i.Write(conn, r, http.StatusOK, "", "answer to "+run.ID)
+}
+
+// Write writes an answer with the instance's seal. extra holds further header lines.
+func (i *Instance) Write(conn net.Conn, r *http.Request, status int, extra, body string) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), AttemptID, r.Header.Get(AttemptID), Seal, i.ID, extra, len(body), body)
+	return err == nil
+}
