--- a/review/rig/instance.go
+++ b/review/rig/instance.go
@@ -43,6 +43,8 @@
 	Work    time.Duration
 	// Handle answers a request instead of the normal answer if it is not nil.
 	Handle func(conn net.Conn, r *http.Request, body string) (keep bool)
+	// Serve serves a connection instead of the instance if it is not nil.
+	Serve func(conn net.Conn)
 
 	rig      *Rig
 	node     *Node
@@ -166,6 +168,10 @@
 }
 
 func (i *Instance) serve(conn net.Conn) {
+	if i.Serve != nil {
+		i.Serve(conn)
+		return
+	}
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
