Review case 5: answers in progress are cut when status reports are two seconds late

Seen: a node that has had no heartbeat for 3 s marks the backend server down and cancels all idempotent requests there, although it answers them at that moment; answers that were passed on in part are cut.

--- a/review/rig/instance.go
+++ b/review/rig/instance.go
@@ -52,9 +52,10 @@
 	born     int64
 	seqNo    atomic.Int64
 	state    atomic.Value
-	silent   atomic.Bool
-	running  atomic.Int64
-	stopped  chan struct{}
+	// delay is how late the heartbeats arrive, in nanoseconds.
+	delay   atomic.Int64
+	running atomic.Int64
+	stopped chan struct{}
 
 	mu   sync.Mutex
 	runs []Run
@@ -104,14 +105,15 @@
 // SetState sets the state of later heartbeats.
 func (i *Instance) SetState(state string) { i.state.Store(state) }
 
-// Silence stops the heartbeats.
-func (i *Instance) Silence() { i.silent.Store(true) }
+// DelayReports lets all later heartbeats arrive late.
+func (i *Instance) DelayReports(d time.Duration) {
+	i.rig.Note("beat", "the status reports of %s arrive %v late from now on", i.ID, d)
+	i.delay.Store(int64(d))
+}
 
 func (i *Instance) beat() {
 	for {
-		if !i.silent.Load() {
-			_, _ = i.Heartbeat()
-		}
+		go i.sendLate(time.Duration(i.delay.Load()))
 		select {
 		case <-i.stopped:
 			return
@@ -120,6 +122,14 @@
 	}
 }
 
+// sendLate makes a heartbeat and sends it after a delay.
+func (i *Instance) sendLate(delay time.Duration) {
+	state, seqNo := i.state.Load().(string), i.seqNo.Add(1)
+	time.Sleep(delay)
+	status, err := i.Report(state, seqNo)
+	i.rig.Note("beat", "status report %d of %s is answered %d, %v", seqNo, i.ID, status, err)
+}
+
 // Heartbeat sends the next status report and returns the status of its answer.
 func (i *Instance) Heartbeat() (int, error) {
 	return i.Report(i.state.Load().(string), i.seqNo.Add(1))
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -45,9 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Rig{dir: dir, start: time.Now(), record: record}
-	r.Store, err = NewStore(r.ip(250) + ":0")
-	return r, err
+	return &Rig{Store: NewStore(), dir: dir, start: time.Now(), record: record}, nil
 }
 
 // HasTrouble reports whether the case runs with its disruption.
@@ -111,6 +109,8 @@
 	readyPort    = 8625
 	peerPort     = 7600
 	metricsPort  = 9464
+	// storeHost is the number of the store's address.
+	storeHost = 250
 )
 
 // StartNode starts the node of another machine, with the settings that the deploy file's
@@ -120,11 +120,15 @@
 	ip := r.ip(r.number)
 	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	n := &Node{Name: fmt.Sprintf("sidecar-%s-%d", zone, r.number), Zone: zone, Service: service, IP: ip, Outbound: at(outboundPort), Control: at(controlPort), Ready: at(readyPort), Peer: at(peerPort), rig: r}
+	store, err := r.Store.Open(r.ip(storeHost)+":0", ip)
+	if err != nil {
+		return nil, err
+	}
 	settings := map[string]any{
 		"node": n.Name, "data_centre": zone, "source": "store", "caller_service": service,
 		"caller_address": n.Outbound, "peer_address": n.Peer, "host_address": n.Control, "ready_address": n.Ready,
 		"metrics_address":      at(metricsPort),
-		"platform":             map[string]any{"endpoints": []string{r.Store.Address()}, "timeout_ms": 800},
+		"platform":             map[string]any{"endpoints": []string{store}, "timeout_ms": 800},
 		"stop_timeout_seconds": 6, "stop_notice_ms": 3000, "memory_limit_mb": 48, "link_mbps": 1000,
 		"retries":  map[string]any{"ratio": 0.2, "burst": 64},
 		"exposure": map[string]any{"share": 0.1, "slack": 50},
