--- a/review/rig/instance.go
+++ b/review/rig/instance.go
@@ -51,6 +51,7 @@
 	listener net.Listener
 	born     int64
 	seqNo    atomic.Int64
+	muted    atomic.Bool
 	state    atomic.Value
 	// delay is how late the heartbeats arrive, in nanoseconds.
 	delay   atomic.Int64
@@ -113,7 +114,9 @@
 
 func (i *Instance) beat() {
 	for {
-		go i.sendLate(time.Duration(i.delay.Load()))
+		if !i.muted.Load() {
+			go i.sendLate(time.Duration(i.delay.Load()))
+		}
 		select {
 		case <-i.stopped:
 			return
@@ -122,6 +125,9 @@
 	}
 }
 
+// Mute ends the heartbeats.
+func (i *Instance) Mute() { i.muted.Store(true) }
+
 // sendLate makes a heartbeat and sends it after a delay.
 func (i *Instance) sendLate(delay time.Duration) {
 	state, seqNo := i.state.Load().(string), i.seqNo.Add(1)
