Review case 4: requests behind the cut answer get none at all

Each client now sends a short request behind the long one. When the long answer is cut, the short ones, which instances had answered, are lost with the connection.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -72,29 +73,50 @@
 }
 
 // Do sends a request and waits for its answer until its deadline.
-func (c *Caller) Do(q Request) Answer {
-	a := Answer{Request: q}
-	if c.conn == nil {
-		conn, err := c.node.Dial()
-		if err != nil {
-			a.Err, a.EndedAt = err, time.Now()
-			c.note(a)
-			return a
+func (c *Caller) Do(q Request) Answer { return c.DoAll(q)[0] }
+
+// DoAll sends requests in a row and waits for their answers. The requests behind one
+// without a complete answer have none.
+func (c *Caller) DoAll(requests ...Request) []Answer {
+	answers := make([]Answer, len(requests))
+	err := c.connect()
+	for k, q := range requests {
+		answers[k] = Answer{Request: q, Err: err}
+		if err == nil {
+			c.rig.Note("sent", "request %s to %s: %s %s", q.ID, c.node.Name, q.Method, q.Target)
+			_, err = io.WriteString(c.conn, q.Bytes())
+			answers[k].Err, answers[k].SentAt = err, time.Now()
 		}
-		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
-	c.rig.Note("sent", "request %s to %s: %s %s", q.ID, c.node.Name, q.Method, q.Target)
-	_, a.Err = io.WriteString(c.conn, q.Bytes())
-	a.SentAt = time.Now()
-	if a.Err == nil {
-		c.receive(&a)
+	for k := range answers {
+		a := &answers[k]
+		if a.Err == nil && c.conn == nil {
+			a.Err = errClosed
+		}
+		if a.Err == nil {
+			c.receive(a)
+		}
+		a.EndedAt = time.Now()
+		if a.Err != nil {
+			c.Close()
+		}
+		c.note(*a)
 	}
-	a.EndedAt = time.Now()
-	if a.Err != nil {
-		c.Close()
+	return answers
+}
+
+var errClosed = errors.New("the connection has ended before")
+
+func (c *Caller) connect() error {
+	if c.conn != nil {
+		return nil
+	}
+	conn, err := c.node.Dial()
+	if err != nil {
+		return err
 	}
-	c.note(a)
-	return a
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	return nil
 }
 
 // receive reads the answer.
