--- a/review/2/main.go
+++ b/review/2/main.go
@@ -81,7 +81,8 @@
 	wg.Wait()
 	lost, runs := 0, rig.CountRuns(instances)
 	for _, a := range answers {
-		if a.Err != nil && runs[a.Request.ID] > 0 {
+		inTime := a.EndedAt.Before(a.SentAt.Add(a.Request.Deadline))
+		if a.Err != nil && inTime && runs[a.Request.ID] > 0 {
 			lost++
 		}
 	}
