--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -23,6 +23,7 @@
 	StoreReached           Name = "store_reached"
 	StoreLost              Name = "store_lost"
 	StoreRestored          Name = "store_restored"
+	StoreWatchChanged      Name = "store_watch_changed"
 	RegistrationLapsed     Name = "registration_lapsed"
 	RegistrationFailed     Name = "registration_failed"
 	PeerChanged            Name = "peer_changed"
@@ -78,6 +79,7 @@
 		{StoreReached, "The store answers again.", ""},
 		{StoreLost, "The store does not answer, or dropped the history that a watch needs.", "error"},
 		{StoreRestored, "The store was restored from an earlier copy: what was written after the copy is lost, and revisions and lease numbers are given out again.", "era, era_before"},
+		{StoreWatchChanged, "This node began or stopped watching the store for the nodes of its data centre, or watches with another wait; 0 means that it relies on others.", "wait_ms"},
 		{RegistrationLapsed, "The lease of this node's address expired; the node registers the address again.", ""},
 		{RegistrationFailed, "The registration cannot be encoded.", "error"},
 		{PeerChanged, "A node joined, failed its probes, was declared dead or left.", "member, state"},
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 )
 
 const (
@@ -43,6 +44,8 @@
 	onReached    func()
 	onLost       func(error)
 	onUnreadable func()
+	// lastWait is the wait that was last logged.
+	lastWait time.Duration
 }
 
 // FollowerOption configures a Follower in NewFollower.
@@ -124,6 +127,7 @@
 func (f *Follower) watch(ctx context.Context, revision int64) error {
 	for ctx.Err() == nil {
 		wait := f.nextWait()
+		f.logWait(wait)
 		if wait == 0 {
 			common.Sleep(ctx, noWatchPause)
 			continue
@@ -145,6 +149,14 @@
 	return ctx.Err()
 }
 
+func (f *Follower) logWait(wait time.Duration) {
+	if wait == f.lastWait {
+		return
+	}
+	f.lastWait = wait
+	f.Event(event.StoreWatchChanged).WithField("wait_ms", wait.Milliseconds()).Info("watch of the store changed")
+}
+
 // watchOnce runs one watch. It fails with errShorterWait if a watch that began now would
 // wait for less time than this one has waited.
 func (f *Follower) watchOnce(ctx context.Context, revision int64, wait time.Duration) ([]Event, int64, error) {
