Let each node know how old its evidence of the newest configuration is

Cause: a node that does not watch the store took any sign of life of any peer as a sign that it holds the newest configuration. Who watches was decided by rank and passed on by announcements, a node at a time and for a bounded number of turns, and only one data centre watched with a short wait. Class: liveness taken for freshness.

Now each node keeps the time at which the store is known to have held nothing newer: the beginning of its own reads, or a peer's evidence, aged by the whole round trip so that it cannot become newer on its way. Evidence older than 0.9 s lets a node ask the watchers of its data centre, then others; older than 1.4 s, the store itself, for the changes after the newest revision known. So a node that reaches the store is at most 1.5 s and a call behind, whatever its peers do. The first node of each data centre watches with the short wait, one more for each 100 nodes. Nodes that are not needed retry an unreachable store less often.

--- a/pkg/node/configuration.go
+++ b/pkg/node/configuration.go
@@ -97,7 +97,6 @@
 // recordContact records that a node answered or called, and the sequence that
 // it holds.
 func (n *Node) recordContact(name string, sequence uint64) {
-	n.lastContact.Store(n.Now().UnixNano())
 	r := n.records.Get(gossip.PrefixMember + name)
 	if n.snapshots != nil {
 		if r != nil {
--- a/pkg/node/gossiper.go
+++ b/pkg/node/gossiper.go
@@ -224,6 +224,7 @@
 func (g *gossiper) exchange(ctx context.Context, address string) error {
 	member := g.memberAt(address)
 	in := g.newExchange(member)
+	sentAt := g.Now()
 	out, err := g.control.Exchange(ctx, address, in)
 	if err != nil {
 		g.Count(`hibiscusrock_gossip_failures_total`)
@@ -235,6 +236,7 @@
 	if out.GetSequence() > g.heldSequence() && g.mayPull(member, out.GetSequence()) {
 		g.pull(ctx, address)
 	}
+	g.receiveConfirmation(out.GetSequence(), out.GetConfirmation(), sentAt)
 	if out.GetDigest() != g.records.Digest() {
 		g.repair(ctx, address, member != nil && fleet.IsGone(member))
 	}
--- a/pkg/node/host.go
+++ b/pkg/node/host.go
@@ -240,6 +240,9 @@
 	})
 	set.NewGauge(`hibiscusrock_members`, func() float64 { return float64(n.members.Len()) })
 	set.NewGauge(`hibiscusrock_records`, func() float64 { return float64(n.records.Len()) })
+	if n.freshness != nil {
+		set.NewGauge(`hibiscusrock_configuration_confirmed_age_seconds`, func() float64 { return n.freshness.Age().Seconds() })
+	}
 	set.NewGauge(`hibiscusrock_control_sent_bytes`, func() float64 {
 		sent, _ := n.control.Traffic()
 		return float64(sent)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -63,19 +63,18 @@
 	releaseBootstrapper *releaseBootstrapper
 	lease               *claimLease
 
-	// adapter, snapshots, storeBootstrapper and rollouts are set in store mode
+	// adapter, snapshots, freshness, storeBootstrapper and rollouts are set in store mode
 	// only; holder, platform, moves, releaseBootstrapper and lease in release
 	// mode only. platform is the key-value store of release mode and not part of
 	// package platform, which serves store mode.
 	adapter           *StoreAdapter
 	snapshots         *distribution.Snapshots
+	freshness         *distribution.Freshness
 	storeBootstrapper *storeBootstrapper
 	rollouts          *storeRollouts
 
-	ready atomic.Bool
-	// lastContact is when a peer last answered or called, in Unix nanoseconds.
-	lastContact atomic.Int64
-	cleanUps    []func()
+	ready    atomic.Bool
+	cleanUps []func()
 }
 
 // New returns a node with the given settings, and its clean-up function.
--- a/pkg/node/peer_handler.go
+++ b/pkg/node/peer_handler.go
@@ -40,11 +40,13 @@
 	if n.records.HasBroadcasts() {
 		wake(n.gossiper.woken)
 	}
+	confirmation, sequence := n.confirmed()
 	return &wire.ExchangeResponse{
-		Node:     n.settings.Node,
-		Records:  n.records.Broadcasts(maxBroadcastBytes, in.GetDataCentre() != n.settings.DataCentre),
-		Digest:   n.records.Digest(),
-		Sequence: n.heldSequence(),
+		Node:         n.settings.Node,
+		Records:      n.records.Broadcasts(maxBroadcastBytes, in.GetDataCentre() != n.settings.DataCentre),
+		Digest:       n.records.Digest(),
+		Sequence:     sequence,
+		Confirmation: confirmation,
 	}, nil
 }
 
@@ -76,7 +78,8 @@
 	if in.GetNode() != "" {
 		n.recordContact(in.GetNode(), in.GetSequence())
 	}
-	out := &wire.PingResponse{Reached: true, Node: n.settings.Node, Sequence: n.heldSequence()}
+	confirmation, sequence := n.confirmed()
+	out := &wire.PingResponse{Reached: true, Node: n.settings.Node, Sequence: sequence, Confirmation: confirmation}
 	if in.GetTargetAddress() == "" {
 		return out, nil
 	}
--- a/pkg/node/probes.go
+++ b/pkg/node/probes.go
@@ -41,9 +41,11 @@
 // another node.
 func (n *Node) probe(ctx context.Context, member *wire.Member) {
 	in := &wire.PingRequest{Node: n.settings.Node, Sequence: n.heldSequence()}
+	sentAt := n.Now()
 	out, err := n.control.Ping(ctx, member.GetAddress(), probeTimeout, in)
 	if err == nil {
 		n.recordContact(out.GetNode(), out.GetSequence())
+		n.receiveConfirmation(out.GetSequence(), out.GetConfirmation(), sentAt)
 		return
 	}
 	n.Count(`hibiscusrock_probe_failures_total`)
--- a/pkg/node/ranks.go
+++ b/pkg/node/ranks.go
@@ -9,53 +9,47 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
-// maxWatchers and maxLocalWatchers bound the nodes of the deployment and of a data centre
-// that watch the store in turn while those before them cannot reach it.
 const (
-	maxWatchers      = 8
-	maxLocalWatchers = 4
+	// watchersPerDataCentre is the least number of nodes of a data centre that watch the
+	// store, so that one may fail. The first of them have a short wait: one node in each
+	// nodesPerShortWait, because the others of the data centre ask them.
+	watchersPerDataCentre = 2
+	nodesPerShortWait     = 100
+	// turnsPerWatcher bounds the nodes that watch in turn while those before them cannot
+	// reach the store.
+	turnsPerWatcher = 4
 )
 
-// ranks returns this node's rank for a task among the live nodes of the
-// deployment and among those of its data centre, 0 being the first. The order
-// differs from task to task; hosts with faster links come first.
-func (n *Node) ranks(task string) (all, local int) {
-	ahead := n.membersAhead(task)
-	return len(ahead), n.countLocal(ahead)
-}
+// rank returns this node's rank for a task among the live nodes of the deployment, 0 being
+// the first. The order differs from task to task; hosts with faster links come first.
+func (n *Node) rank(task string) int { return len(n.ahead(task, n.members.All())) }
 
-// watchRanks is ranks for the watch of the store, without the nodes that cannot reach it.
-func (n *Node) watchRanks() (all, local int) {
-	ahead := n.membersAhead("watch")
-	reaching := slices.DeleteFunc(slices.Clone(ahead), (*wire.Member).GetStoreLost)
-	all, local = len(reaching), n.countLocal(reaching)
-	if len(ahead) >= maxWatchers {
-		all = len(ahead)
-	}
-	if aheadLocal := n.countLocal(ahead); aheadLocal >= maxLocalWatchers {
-		local = aheadLocal
+// watchRank returns this node's rank among the live nodes of its data centre for the watch of
+// the store, without those that cannot reach it.
+func (n *Node) watchRank() int {
+	ahead := n.ahead("watch", n.members.Peers())
+	if len(ahead) >= turnsPerWatcher*watchers(n.countAlivePeers()+1) {
+		return len(ahead)
 	}
-	return all, local
+	return len(slices.DeleteFunc(ahead, (*wire.Member).GetStoreLost))
 }
 
-// membersAhead returns the live nodes that rank before this one for a task.
-func (n *Node) membersAhead(task string) []*wire.Member {
+// watchTurn reports whether this node is one of those of its data centre that watch the store.
+func (n *Node) watchTurn() bool { return n.watchRank() < watchers(n.countAlivePeers()+1) }
+
+// watchers returns the number of nodes that watch the store in a data centre with the given
+// number of nodes, and shortWatchers that of those with a short wait.
+func watchers(nodes int) int      { return max(watchersPerDataCentre, shortWatchers(nodes)) }
+func shortWatchers(nodes int) int { return 1 + nodes/nodesPerShortWait }
+
+// ahead returns those of the members that are alive and rank before this node for a task.
+func (n *Node) ahead(task string, members []*wire.Member) []*wire.Member {
 	own := n.members.Self()
-	return slices.DeleteFunc(n.members.All(), func(member *wire.Member) bool {
+	return slices.DeleteFunc(members, func(member *wire.Member) bool {
 		return member.GetState() != wire.MemberState_MEMBER_STATE_ALIVE || compareForTask(task, member, own) >= 0
 	})
 }
 
-func (n *Node) countLocal(members []*wire.Member) int {
-	local := 0
-	for _, member := range members {
-		if member.GetDataCentre() == n.settings.DataCentre {
-			local++
-		}
-	}
-	return local
-}
-
 // compareForTask returns a negative number when a ranks before b for a task.
 func compareForTask(task string, a, b *wire.Member) int {
 	hash := func(m *wire.Member) uint64 { return xxhash.Sum64String(task + "/" + m.GetNode()) }
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -178,7 +178,7 @@
 		startLoop(ctx, n.runHousekeeping),
 	}
 	if n.adapter != nil {
-		return append(loops, startLoop(ctx, n.storeBootstrapper.run), startLoop(ctx, n.followStore), startLoop(ctx, n.rollouts.run))
+		return append(loops, startLoop(ctx, n.storeBootstrapper.run), startLoop(ctx, n.followStore), startLoop(ctx, n.keepConfirmed), startLoop(ctx, n.rollouts.run))
 	}
 	return append(loops, startLoop(ctx, n.releaseBootstrapper.run), startLoop(ctx, n.runRelay), startLoop(ctx, n.moves.run))
 }
--- a/pkg/node/store_adapter.go
+++ b/pkg/node/store_adapter.go
@@ -62,6 +62,7 @@
 // users' store.
 func (n *Node) buildStoreMode() {
 	n.snapshots = distribution.NewSnapshots(n.Common, n.adapter.DecodeConfiguration, n.onSnapshotEnforced)
+	n.freshness = distribution.NewFreshness(n.Now)
 	n.storeBootstrapper = newStoreBootstrapper(n)
 	n.rollouts = newStoreRollouts(n)
 	n.buildStoreRequests()
--- a/pkg/node/store_rollouts.go
+++ b/pkg/node/store_rollouts.go
@@ -319,7 +319,7 @@
 func (r *storeRollouts) isEligible() bool {
 	now := r.Now()
 	for _, t := range r.openOrders() {
-		rank, _ := r.ranks(t.order.Service)
+		rank := r.rank(t.order.Service)
 		delay := time.Duration(rank) * candidacyInterval
 		r.mu.Lock()
 		due := t.firstSeen.Add(delay)
--- a/pkg/node/store_shares.go
+++ b/pkg/node/store_shares.go
@@ -76,7 +76,7 @@
 // isStandby reports whether this node is among the first that would replace the
 // leader of a service's order.
 func (r *storeRollouts) isStandby(service string) bool {
-	rank, _ := r.ranks(service)
+	rank := r.rank(service)
 	return rank <= maxStandbyRank
 }
 
--- a/pkg/node/store_watch.go
+++ b/pkg/node/store_watch.go
@@ -14,7 +14,8 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 )
 
-// followStore watches the keys that operators write in the users' store. Its
+// followStore watches the keys that operators write in the users' store, and reads them
+// whenever neither the store nor a peer has confirmed lately what this node holds. Its
 // counterpart in release mode is runRelay.
 func (n *Node) followStore(ctx context.Context) {
 	follower := store.NewFollower(n.Common, n.adapter.KV, n.adapter.OperatorPrefix,
@@ -30,41 +31,33 @@
 				}
 			}
 		}),
+		store.WithConfirmed(n.freshness.Confirm),
 		store.WithWait(n.watchWait),
+		store.WithCheck(n.checkDue),
+		store.WithRetryPause(n.retryPause),
 		store.WithReachability(n.storeBootstrapper.storeReached, n.storeBootstrapper.storeLost),
-		store.WithUnreadable(func() { n.members.AnnounceStoreLost(true) }))
+		store.WithUnreadable(n.storeUnreadable))
 	follower.Run(ctx)
 }
 
 const (
-	// firstWatchWait bounds the time for which the whole deployment can miss a
-	// change because watches stopped delivering without an error. It is well
-	// below the time within which a change has to be in force.
+	// firstWatchWait is the wait of the first nodes of each data centre, whose evidence the
+	// others rely on.
 	firstWatchWait = 800 * time.Millisecond
-	// spareWatchWait is the wait of the second node of the deployment, which
-	// replaces the first if that fails.
-	spareWatchWait = 2 * time.Second
-	// watchersPerDataCentre is the number of nodes of each data centre that
-	// watch, so that one may fail; localWatchWait is their wait.
-	watchersPerDataCentre = 2
-	localWatchWait        = 20 * time.Second
-	// isolationTimeout is the time without contact to a peer after which a node
-	// watches by itself.
-	isolationTimeout = 1200 * time.Millisecond
+	// spareWatchWait is the wait of the other nodes that watch. They only have to notice
+	// changes without delay.
+	spareWatchWait = 20 * time.Second
 )
 
-// watchWait returns how long this node's next watch waits, or 0 for a node that
-// does not watch. One node of the deployment has a short wait and a few of each
-// data centre a long one; all others receive changes from them.
+// watchWait returns how long this node's next watch waits, or 0 for a node that does not
+// watch, because it receives changes from others of its data centre.
 func (n *Node) watchWait() time.Duration {
-	rank, local := n.watchRanks()
+	rank, nodes := n.watchRank(), n.countAlivePeers()+1
 	switch {
-	case rank == 0 || n.sinceContact() > isolationTimeout:
+	case rank < shortWatchers(nodes):
 		return firstWatchWait
-	case rank == 1:
+	case rank < watchers(nodes):
 		return spareWatchWait
-	case local < watchersPerDataCentre:
-		return localWatchWait
 	}
 	return 0
 }
@@ -116,8 +109,3 @@
 }
 
 func (n *Node) onSnapshotEnforced(*routing.Table) { n.gossiper.notifyConfiguration() }
-
-// sinceContact returns the time since a peer last answered or called.
-func (n *Node) sinceContact() time.Duration {
-	return n.Now().Sub(time.Unix(0, n.lastContact.Load()))
-}
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -14,18 +14,22 @@
 	defaultWatchWait = 8 * time.Second
 	// batchPause is the pause after a watch that reported changes, so that changes
 	// in quick succession are received together.
-	batchPause = 600 * time.Millisecond
-	// noWatchPause is the time without a watch after which WithWait's function is
+	batchPause = 400 * time.Millisecond
+	// turnInterval is the time after which the functions of WithWait and WithCheck are
 	// called again.
-	noWatchPause = 300 * time.Millisecond
-	// minRetryPause and maxRetryPause bound the pauses between reads while the
+	turnInterval = 100 * time.Millisecond
+	// minWatchWait is the shortest wait of a watch.
+	minWatchWait = 100 * time.Millisecond
+	// checkWait is the wait of a call that only asks for the changes until now.
+	checkWait = 10 * time.Millisecond
+	// minRetryPause and defaultRetryPause bound the pauses between reads while the
 	// store does not answer.
-	minRetryPause = 100 * time.Millisecond
-	maxRetryPause = time.Second
+	minRetryPause     = 100 * time.Millisecond
+	defaultRetryPause = time.Second
 )
 
-// errShorterWait ends a watch that waits for longer than one that begins now.
-var errShorterWait = errors.New("a watch is to wait for less time")
+// errOutdated ends a watch in whose place another call is due now.
+var errOutdated = errors.New("another call is due in place of this watch")
 
 // Follower reads all keys under a prefix and then reports their changes to callbacks.
 type Follower struct {
@@ -36,9 +40,15 @@
 	onListed func([]KeyValue)
 	// onChanged is called with the changes that a watch reports.
 	onChanged func([]Event)
+	// onConfirmed is called after all changes up to a time and a revision were reported.
+	onConfirmed func(at time.Time, revision int64)
 	// nextWait returns the time that the next watch waits for changes. 0 skips the
-	// watch for noWatchPause.
+	// watch for turnInterval.
 	nextWait func() time.Duration
+	// checkDue reports whether to ask for the changes after a revision at once.
+	checkDue func() (after int64, due bool)
+	// retryPause returns the longest pause between reads.
+	retryPause func() time.Duration
 	// onReached is called after all keys were read, onLost when a read or a watch fails,
 	// and onUnreadable when a read fails.
 	onReached    func()
@@ -63,12 +73,31 @@
 
 // WithWait sets the function that returns the time that the next watch waits for
 // changes. This time bounds how long a broken connection stays undetected. 0
-// skips the watch; the function is then called again after 300 ms. It is also called
+// skips the watch; the function is then called again after 100 ms. It is also called
 // while a watch waits, and a shorter time ends the watch that has waited for it.
 func WithWait(wait func() time.Duration) FollowerOption {
 	return func(f *Follower) { f.nextWait = wait }
 }
 
+// WithCheck sets the function that reports whether to ask the store at once for the changes
+// after a revision, which may be newer than those that this follower has reported. It is
+// called every 100 ms, also while a watch waits, which it then ends.
+func WithCheck(due func() (after int64, due bool)) FollowerOption {
+	return func(f *Follower) { f.checkDue = due }
+}
+
+// WithConfirmed sets the function that is called after all changes up to a time and a
+// revision were reported.
+func WithConfirmed(confirmed func(at time.Time, revision int64)) FollowerOption {
+	return func(f *Follower) { f.onConfirmed = confirmed }
+}
+
+// WithRetryPause sets the function that returns the longest pause between reads while the
+// store does not answer. The default is 1 s.
+func WithRetryPause(pause func() time.Duration) FollowerOption {
+	return func(f *Follower) { f.retryPause = pause }
+}
+
 // WithReachability sets the functions that are called after all keys were read, and when
 // a read or a watch fails.
 func WithReachability(reached func(), lost func(error)) FollowerOption {
@@ -93,6 +122,9 @@
 		onReached:    func() {},
 		onLost:       func(error) {},
 		onUnreadable: func() {},
+		onConfirmed:  func(time.Time, int64) {},
+		checkDue:     func() (int64, bool) { return 0, false },
+		retryPause:   func() time.Duration { return defaultRetryPause },
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -105,12 +137,14 @@
 func (f *Follower) Run(ctx context.Context) {
 	pause := minRetryPause
 	for ctx.Err() == nil {
+		began := f.Now()
 		kvs, revision, err := f.kv.List(ctx, f.prefix)
 		if err == nil {
 			f.onReached()
 			f.onListed(kvs)
+			f.onConfirmed(began, revision)
 			pause = minRetryPause
-			err = f.watch(ctx, revision)
+			err = f.watch(ctx, revision, began)
 		} else if ctx.Err() == nil {
 			f.onUnreadable()
 		}
@@ -119,21 +153,40 @@
 		}
 		f.onLost(err)
 		common.Sleep(ctx, common.Jittered(pause))
-		pause = min(2*pause, maxRetryPause)
+		pause = min(2*pause, f.retryPause())
+		f.awaitTurn(ctx)
 	}
 }
 
-// watch reports the changes after revision until a watch fails or ctx ends.
-func (f *Follower) watch(ctx context.Context, revision int64) error {
+// awaitTurn waits until this follower is to watch or to check.
+func (f *Follower) awaitTurn(ctx context.Context) {
+	for f.nextWait() == 0 {
+		if _, due := f.checkDue(); due || !common.Sleep(ctx, turnInterval) {
+			return
+		}
+	}
+}
+
+// watch reports the changes after revision, which is that of confirmedAt, until a watch or a
+// check fails or ctx ends.
+func (f *Follower) watch(ctx context.Context, revision int64, confirmedAt time.Time) error {
 	for ctx.Err() == nil {
+		if after, due := f.checkDue(); due {
+			if err := f.check(ctx, max(after, revision)); err != nil {
+				return err
+			}
+			continue
+		}
 		wait := f.nextWait()
 		f.logWait(wait)
 		if wait == 0 {
-			common.Sleep(ctx, noWatchPause)
+			common.Sleep(ctx, turnInterval)
 			continue
 		}
+		wait = max(minWatchWait, wait-f.Now().Sub(confirmedAt))
+		began := f.Now()
 		events, next, err := f.watchOnce(ctx, revision, wait)
-		if errors.Is(err, errShorterWait) {
+		if errors.Is(err, errOutdated) {
 			continue
 		}
 		if err != nil {
@@ -141,14 +194,43 @@
 			return err
 		}
 		revision = next
+		confirmedAt = began
 		if len(events) > 0 {
 			f.onChanged(events)
+			f.onConfirmed(confirmedAt, revision)
 			common.Sleep(ctx, batchPause)
+			continue
 		}
+		confirmedAt = earlier(began.Add(wait), f.Now())
+		f.onConfirmed(confirmedAt, revision)
 	}
 	return ctx.Err()
 }
 
+// check reports the changes after a revision without waiting for further ones. It leaves the
+// revision after which this follower watches as it is, so that a change which another
+// follower lost on its way is still reported here later.
+func (f *Follower) check(ctx context.Context, after int64) error {
+	f.Count(`hibiscusrock_store_checks_total`)
+	began := f.Now()
+	events, next, err := f.kv.Watch(ctx, f.prefix, after, checkWait)
+	if err != nil {
+		return err
+	}
+	if len(events) > 0 {
+		f.onChanged(events)
+	}
+	f.onConfirmed(began, next)
+	return nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (f *Follower) logWait(wait time.Duration) {
 	if wait == f.lastWait {
 		return
@@ -157,13 +239,13 @@
 	f.Event(event.StoreWatchChanged).WithField("wait_ms", wait.Milliseconds()).Info("watch of the store changed")
 }
 
-// watchOnce runs one watch. It fails with errShorterWait if a watch that began now would
-// wait for less time than this one has waited.
+// watchOnce runs one watch. It fails with errOutdated if a check is due, or if a watch that
+// began now would wait for less time than this one has waited.
 func (f *Follower) watchOnce(ctx context.Context, revision int64, wait time.Duration) ([]Event, int64, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	began := f.Now()
-	ticker := time.NewTicker(noWatchPause)
+	ticker := time.NewTicker(turnInterval)
 	defer ticker.Stop()
 	checked := make(chan struct{})
 	go func() {
@@ -174,14 +256,16 @@
 				return
 			case <-ticker.C:
 			}
-			if next := f.nextWait(); next > 0 && next < wait && f.Now().Sub(began) >= next {
-				cancel(errShorterWait)
+			_, due := f.checkDue()
+			next := f.nextWait()
+			if due || next > 0 && next < wait && f.Now().Sub(began) >= next {
+				cancel(errOutdated)
 			}
 		}
 	}()
 	events, next, err := f.kv.Watch(ctx, f.prefix, revision, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errShorterWait) {
-		err = errShorterWait
+	if err != nil && errors.Is(context.Cause(ctx), errOutdated) {
+		err = errOutdated
 	}
 	cancel(nil)
 	<-checked
