Send reads of the store again when an idle connection is silent

Cause: connections become silent together. After a call over a silent one timed out, the next call took another idle connection, which was silent too: up to three time-outs of 0.8 s one after the other. Class: one connection's fault handled as if the others knew nothing of it. The pool between nodes pings idle connections and drops all of a peer's; the store's client did not.

Now pkg/store.Sender sends a read again on a new connection when an idle one has not answered for 250 ms, and closes the other idle ones; a call that times out closes them as well. Writes are never sent twice.

--- /dev/null
+++ b/pkg/store/sender.go
@@ -0,0 +1,148 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+)
+
+const (
+	// maxIdleConns bounds the idle connections of a Sender. A watch and another call run at
+	// the same time.
+	maxIdleConns = 3
+	// keepAliveInterval and keepAliveProbes set the TCP keep-alive, which detects a
+	// connection whose peer no longer responds.
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 3
+	// resendDelay is the time without an answer on a connection that was idle before after
+	// which a read is sent again on a new one.
+	resendDelay    = 250 * time.Millisecond
+	maxAnswerBytes = 8 << 20
+)
+
+// errNoAnswer ends a call of whose answer nothing arrived in time.
+var errNoAnswer = errors.New("nothing of the answer arrived in time")
+
+// Call is one call to a store.
+type Call struct {
+	Method, URL string
+	// Body is a JSON document, or empty.
+	Body []byte
+	// Wait is the time for which the store may hold the answer back.
+	Wait time.Duration
+}
+
+// Answer is a whole answer of a store.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Sender sends calls to a store over HTTP and keeps connections for the next ones. It is
+// safe for concurrent use.
+type Sender struct {
+	*common.Common
+	http    *http.Client
+	timeout time.Duration
+}
+
+// NewSender returns a sender, and a function that closes its idle connections. The timeout
+// applies to the time in which nothing of an answer arrives, beyond the wait of the call.
+func NewSender(cm *common.Common, timeout time.Duration) (*Sender, func()) {
+	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute, DisableCompression: true}
+	return &Sender{Common: cm, http: &http.Client{Transport: transport}, timeout: timeout}, transport.CloseIdleConnections
+}
+
+// Send sends a call and returns its answer. A read that gets no answer on a connection which
+// was idle before is sent again on a new one. Idle connections tend to become silent
+// together, so they are all closed then.
+func (s *Sender) Send(ctx context.Context, call Call) (Answer, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, call.Wait+s.timeout, errNoAnswer)
+	defer cancel()
+	resp, err := s.firstResponse(ctx, call)
+	if err != nil {
+		if ctx.Err() != nil {
+			s.http.CloseIdleConnections()
+			err = errors.Join(context.Cause(ctx), err)
+		}
+		return Answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, err
+}
+
+// sending is the outcome of one sending of a call.
+type sending struct {
+	number int
+	resp   *http.Response
+	err    error
+}
+
+// firstResponse returns the first response to a call, which may be sent twice. The body of
+// the response can be read until ctx ends.
+func (s *Sender) firstResponse(ctx context.Context, call Call) (*http.Response, error) {
+	done := make(chan sending, 2)
+	var cancels []context.CancelFunc
+	var reused atomic.Bool
+	start := func() {
+		ctx, cancel := context.WithCancel(ctx)
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }})
+		number := len(cancels)
+		cancels = append(cancels, cancel)
+		go func() {
+			resp, err := s.do(ctx, call)
+			done <- sending{number, resp, err}
+		}()
+	}
+	start()
+	timer := time.NewTimer(resendDelay)
+	defer timer.Stop()
+	for ended := 0; ; {
+		select {
+		case first := <-done:
+			ended++
+			if first.err != nil && ended < len(cancels) {
+				continue
+			}
+			for number, cancel := range cancels {
+				if number != first.number || first.err != nil {
+					cancel()
+				}
+			}
+			for ; ended < len(cancels); ended++ {
+				if late := <-done; late.resp != nil {
+					_ = late.resp.Body.Close()
+				}
+			}
+			return first.resp, first.err
+		case <-timer.C:
+			if call.Method == http.MethodGet && call.Wait < resendDelay && reused.Load() {
+				s.Count(`hibiscusrock_store_reads_resent_total`)
+				s.http.CloseIdleConnections()
+				start()
+			}
+		}
+	}
+}
+
+func (s *Sender) do(ctx context.Context, call Call) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, call.URL, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	if len(call.Body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return s.http.Do(req)
+}
