Let a call to the store go on while its answer arrives

Seen: none of the users' reports names it; found while looking for other reasons for which a node that reaches the store cannot read it. Callers of a node on a slow link that reads a large configuration by itself get 503 (it has none yet) or what an older version says.

Cause: each call had a time-out for the whole answer, 0.8 s on the users' platform. A configuration of 1 MB takes 1.1 s on a link of 10 Mbit/s, so that each reading of it broke off and began again.

Now the time-out applies to the time in which nothing of an answer arrives; an answer that does not end is bounded by 10 s and, as before, by 8 MB.

TestLargeConfigurationOverSlowLink before: not ready after 5 s, wanted ready; now it is, and the test fails without the guard.

--- a/pkg/store/sender.go
+++ b/pkg/store/sender.go
@@ -24,7 +24,9 @@
 	keepAliveProbes   = 3
 	// resendDelay is the time without an answer on a connection that was idle before after
 	// which a read is sent again on a new one.
-	resendDelay    = 250 * time.Millisecond
+	resendDelay = 250 * time.Millisecond
+	// maxCallTime and maxAnswerBytes bound an answer that never ends.
+	maxCallTime    = 10 * time.Second
 	maxAnswerBytes = 8 << 20
 )
 
@@ -67,8 +69,12 @@
 // was idle before is sent again on a new one. Idle connections tend to become silent
 // together, so they are all closed then.
 func (s *Sender) Send(ctx context.Context, call Call) (Answer, error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, call.Wait+s.timeout, errNoAnswer)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(call.Wait+s.timeout, func() { cancel(errNoAnswer) })
+	defer silence.Stop()
+	limit := time.AfterFunc(call.Wait+maxCallTime, func() { cancel(errNoAnswer) })
+	defer limit.Stop()
 	resp, err := s.firstResponse(ctx, call)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -78,10 +84,25 @@
 		return Answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(&progressReader{resp.Body, func() { silence.Reset(s.timeout) }}, maxAnswerBytes))
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, err
 }
 
+// progressReader calls a function after each read that returned something.
+type progressReader struct {
+	io.Reader
+	onProgress func()
+}
+
+// Read implements io.Reader.
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.onProgress()
+	}
+	return n, err
+}
+
 // sending is the outcome of one sending of a call.
 type sending struct {
 	number int
