Bound the head of the store's answers

Reported by operators of similar systems: bytes that are no answer, sent without end, filled the memory of the machine that had called. Here the store's answers were one place where it can happen: net/http accepts heads of 10 MB, and the node reads the store again after each failure.

Class: input of another system without a bound of our own.

TestStoreAnswerWithoutEnd before: five of eight rows let the store send 11 to 15 MB, wanted 64 KB and what the sockets hold (6 MB); bodies, bodies with a length and chunks were bounded already. Now all rows pass.

--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -61,6 +61,8 @@
 		DialContext:         (&net.Dialer{Timeout: defaultTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	c := &Client{Common: cm, endpoints: endpoints, http: &http.Client{Transport: transport}, timeout: defaultTimeout}
 	for _, opt := range opts {
--- a/pkg/store/sender.go
+++ b/pkg/store/sender.go
@@ -25,8 +25,9 @@
 	// resendDelay is the time without an answer on a connection that was idle before after
 	// which a read is sent again on a new one.
 	resendDelay = 250 * time.Millisecond
-	// maxCallTime and maxAnswerBytes bound an answer that never ends.
+	// maxCallTime, maxHeadBytes and maxAnswerBytes bound an answer that never ends.
 	maxCallTime    = 10 * time.Second
+	maxHeadBytes   = 64 << 10
 	maxAnswerBytes = 8 << 20
 )
 
@@ -61,7 +62,7 @@
 // applies to the time in which nothing of an answer arrives, beyond the wait of the call.
 func NewSender(cm *common.Common, timeout time.Duration) (*Sender, func()) {
 	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute, DisableCompression: true}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes, DisableCompression: true}
 	return &Sender{Common: cm, http: &http.Client{Transport: transport}, timeout: timeout}, transport.CloseIdleConnections
 }
 
