Bound what a backend server can send to the address for its host

Reported by operators of similar systems: a faulty instance sent bytes without end, and the machine ran out of memory with the requests of others. Here it could do so by calls to the node's own address for its host: each connection could hold a head of 1 MB, for 5 s and without a bound on the number of connections.

Bodies were bounded already. Now a head has 16 KB, a request 10 s to arrive, and each address for the host 256 connections; those beyond are closed and counted.

--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/config"
 	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 	"github.com/hibiscusrock/hibiscusrock/pkg/fault"
@@ -16,6 +17,13 @@
 
 const (
 	hostHeaderTimeout = 5 * time.Second
+	// hostReadTimeout bounds the time in which a whole request of this host arrives, so that
+	// a client cannot keep a connection with bytes that never end.
+	hostReadTimeout  = 10 * time.Second
+	hostIdleTimeout  = time.Minute
+	maxHostHeadBytes = 16 << 10
+	// maxHostConnections bounds the connections to each of the addresses for this host.
+	maxHostConnections = 256
 	// stopReserve is the part of the stop timeout that is left for the process
 	// to exit by itself.
 	stopReserve = 150 * time.Millisecond
@@ -35,7 +43,7 @@
 	defer stopBackground()
 	callers, closeCallers := listener.New(n.Common, n.entry, listener.WithIdempotent(n.entry.IsIdempotent), listener.WithShortAnswers(n.entry.ExpectsShortAnswer))
 	defer closeCallers()
-	host := &http.Server{Handler: n.hostHandler(), ReadHeaderTimeout: hostHeaderTimeout}
+	host := n.newHostServer()
 	ended, err := n.serveAll(background, callers, host)
 	if err != nil {
 		return err
@@ -55,6 +63,11 @@
 	return err
 }
 
+// newHostServer returns the server for this host.
+func (n *Node) newHostServer() *http.Server {
+	return &http.Server{Handler: n.hostHandler(), ReadHeaderTimeout: hostHeaderTimeout, MaxHeaderBytes: maxHostHeadBytes, ReadTimeout: hostReadTimeout, IdleTimeout: hostIdleTimeout}
+}
+
 // serveAll listens on every address in the settings and starts the servers.
 func (n *Node) serveAll(ctx context.Context, callers *listener.Server, host *http.Server) ([]<-chan error, error) {
 	peers, err := listen(n.settings.PeerAddress)
@@ -75,7 +88,8 @@
 		if err != nil {
 			return nil, err
 		}
-		ended = append(ended, serveHTTP(host, l))
+		limited := common.NewLimitedListener(l, maxHostConnections, func() { n.Count(`hibiscusrock_host_connections_refused_total`) })
+		ended = append(ended, serveHTTP(host, limited))
 	}
 	return ended, nil
 }
