--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -73,7 +73,7 @@
 		{NodeJoined, "The node received what other nodes know about its host, or its wait for that timed out; it serves now.", "cause, after_ms, members"},
 		{NodeStopping, "The node received a stop signal; it notifies other nodes before it stops.", ""},
 		{NodeStopped, "The node has stopped.", ""},
-		{StopTimedOut, "Requests were still in flight at the end of the stop timeout.", "error"},
+		{StopTimedOut, "Requests were still in flight, or servers had not ended, at the end of the stop timeout.", "error"},
 		{SettingsReloaded, "The settings were read again, as the file changed or after SIGHUP. Lists the changed fields that took effect and those that need a restart; an error lists what is invalid, and nothing changed.", "changed, at_start, error"},
 		{LogLinesDropped, "Log lines were dropped because their rate was too high or their reader was too slow.", "lines"},
 		{StoreReached, "The store answers again.", ""},
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -27,6 +27,8 @@
 	// stopReserve is the part of the stop timeout that is left for the process
 	// to exit by itself.
 	stopReserve = 150 * time.Millisecond
+	// serversEndTimeout bounds the wait for the servers to end after a stop.
+	serversEndTimeout = 100 * time.Millisecond
 	// answerReserve is the part of the stop timeout that is left for answers on their
 	// way to the caller.
 	answerReserve = 100 * time.Millisecond
@@ -51,7 +53,8 @@
 	loops := n.startLoops(background)
 	n.ready.Store(true)
 	n.Event(event.NodeStarted).WithField("sequence", n.heldSequence()).Info("node started")
-	err = waitForEnd(ctx, ended)
+	failed := merge(ended)
+	err = waitForEnd(ctx, failed)
 	n.ready.Store(false)
 	n.stop(callers)
 	stopBackground()
@@ -59,6 +62,9 @@
 		<-loop
 	}
 	_ = host.Close()
+	if err == nil {
+		n.awaitServers(failed, len(ended))
+	}
 	n.Event(event.NodeStopped).Info("node stopped")
 	return err
 }
@@ -114,12 +120,17 @@
 	return done
 }
 
-// waitForEnd returns when ctx ends or any of the servers fails.
-func waitForEnd(ctx context.Context, ended []<-chan error) error {
-	failed := make(chan error, len(ended))
-	for _, ch := range ended {
-		go func() { failed <- <-ch }()
+// merge returns a channel that yields what each of the channels does.
+func merge(channels []<-chan error) <-chan error {
+	merged := make(chan error, len(channels))
+	for _, ch := range channels {
+		go func() { merged <- <-ch }()
 	}
+	return merged
+}
+
+// waitForEnd returns when ctx ends or a server fails.
+func waitForEnd(ctx context.Context, failed <-chan error) error {
 	select {
 	case <-ctx.Done():
 		return nil
@@ -128,6 +139,21 @@
 	}
 }
 
+// awaitServers waits until a number of servers has ended, so that their addresses are free
+// when Run returns, but not longer than serversEndTimeout.
+func (n *Node) awaitServers(ended <-chan error, servers int) {
+	timer := time.NewTimer(serversEndTimeout)
+	defer timer.Stop()
+	for range servers {
+		select {
+		case <-ended:
+		case <-timer.C:
+			n.Event(event.StopTimedOut).Warn("servers had not ended")
+			return
+		}
+	}
+}
+
 // ApplySettings puts those of the settings into effect that a running node can change. It
 // is safe for concurrent use.
 func (n *Node) ApplySettings(settings config.Settings) {
