Ask the store less often for evidence of the newest configuration

The first node waits 1.2 s now, others ask from 1.3 s and check from 1.6 s. A change is then in force 1.7 s and one call after it was confirmed at the latest, of 2 s. A watch that reports a change after a long wait is followed by a shorter pause, because it confirms nothing newer than its beginning.

--- a/pkg/node/freshness.go
+++ b/pkg/node/freshness.go
@@ -13,10 +13,10 @@
 	// askAge is the age of the evidence that the configuration is the newest one from which
 	// a node asks peers for newer evidence. It exceeds firstWatchWait, within which those
 	// that watch the store have some.
-	askAge = 900 * time.Millisecond
+	askAge = 1300 * time.Millisecond
 	// checkAge is the age of that evidence from which a node asks the store itself. The time
 	// within which a change has to be in force also covers the call to the store.
-	checkAge   = 1400 * time.Millisecond
+	checkAge   = 1600 * time.Millisecond
 	askTimeout = 250 * time.Millisecond
 	// askInterval is the pause after an ask, and overdueAskInterval the one after the node
 	// has begun to ask the store itself.
--- a/pkg/node/store_watch.go
+++ b/pkg/node/store_watch.go
@@ -43,7 +43,7 @@
 const (
 	// firstWatchWait is the wait of the first nodes of each data centre, whose evidence the
 	// others rely on.
-	firstWatchWait = 800 * time.Millisecond
+	firstWatchWait = 1200 * time.Millisecond
 	// spareWatchWait is the wait of the other nodes that watch. They only have to notice
 	// changes without delay.
 	spareWatchWait = 20 * time.Second
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -13,8 +13,11 @@
 	// defaultWatchWait is the time that a watch waits for changes unless WithWait is used.
 	defaultWatchWait = 8 * time.Second
 	// batchPause is the pause after a watch that reported changes, so that changes
-	// in quick succession are received together.
-	batchPause = 400 * time.Millisecond
+	// in quick succession are received together. After a watch that waited for long it is
+	// shorter, because such a watch confirms nothing newer than its beginning.
+	batchPause    = 400 * time.Millisecond
+	minBatchPause = 50 * time.Millisecond
+	maxBatchAge   = time.Second
 	// turnInterval is the time after which the functions of WithWait and WithCheck are
 	// called again.
 	turnInterval = 100 * time.Millisecond
@@ -198,7 +201,7 @@
 		if len(events) > 0 {
 			f.onChanged(events)
 			f.onConfirmed(confirmedAt, revision)
-			common.Sleep(ctx, batchPause)
+			common.Sleep(ctx, max(minBatchPause, min(batchPause, maxBatchAge-f.Now().Sub(began))))
 			continue
 		}
 		confirmedAt = earlier(began.Add(wait), f.Now())
