Name the ends of a node's servers alike in Run

Read as a newcomer: the channels were called ended, failed and ended again in one function, though they yield the same. No behaviour changes.

--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -46,15 +46,15 @@
 	callers, closeCallers := listener.New(n.Common, n.entry, listener.WithIdempotent(n.entry.IsIdempotent), listener.WithShortAnswers(n.entry.ExpectsShortAnswer))
 	defer closeCallers()
 	host := n.newHostServer()
-	ended, err := n.serveAll(background, callers, host)
+	servers, err := n.serveAll(background, callers, host)
 	if err != nil {
 		return err
 	}
 	loops := n.startLoops(background)
 	n.ready.Store(true)
 	n.Event(event.NodeStarted).WithField("sequence", n.heldSequence()).Info("node started")
-	failed := merge(ended)
-	err = waitForEnd(ctx, failed)
+	ends := merge(servers)
+	err = waitForEnd(ctx, ends)
 	n.ready.Store(false)
 	n.stop(callers)
 	stopBackground()
@@ -63,7 +63,7 @@
 	}
 	_ = host.Close()
 	if err == nil {
-		n.awaitServers(failed, len(ended))
+		n.awaitServers(ends, len(servers))
 	}
 	n.Event(event.NodeStopped).Info("node stopped")
 	return err
@@ -129,24 +129,24 @@
 	return merged
 }
 
-// waitForEnd returns when ctx ends or a server fails.
-func waitForEnd(ctx context.Context, failed <-chan error) error {
+// waitForEnd returns when ctx ends, or with an error when a server does.
+func waitForEnd(ctx context.Context, ends <-chan error) error {
 	select {
 	case <-ctx.Done():
 		return nil
-	case err := <-failed:
+	case err := <-ends:
 		return fault.Wrap(err, fault.KindInternal, "a server of this node stopped serving", "see the log")
 	}
 }
 
 // awaitServers waits until a number of servers has ended, so that their addresses are free
 // when Run returns, but not longer than serversEndTimeout.
-func (n *Node) awaitServers(ended <-chan error, servers int) {
+func (n *Node) awaitServers(ends <-chan error, servers int) {
 	timer := time.NewTimer(serversEndTimeout)
 	defer timer.Stop()
 	for range servers {
 		select {
-		case <-ended:
+		case <-ends:
 		case <-timer.C:
 			n.Event(event.StopTimedOut).Warn("servers had not ended")
 			return
