--- a/pkg/node/host_flood_test.go
+++ b/pkg/node/host_flood_test.go
@@ -24,16 +24,8 @@
 	}
 	for name, bytes := range tests {
 		t.Run(name, func(t *testing.T) {
-			address := startHostServer(t)
 			before := heapBytes()
-			for range connections {
-				conn, err := net.Dial("tcp", address)
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer func() { _ = conn.Close() }()
-				go func() { _, _ = conn.Write([]byte(bytes)) }()
-			}
+			flood(t, startHostServer(t), connections, bytes)
 			time.Sleep(time.Second)
 			if got := heapBytes() - before; got > memoryBytes {
 				t.Errorf("%d connections take %d bytes of memory, want at most %d", connections, got, memoryBytes)
@@ -42,6 +34,19 @@
 	}
 }
 
+// flood opens connections and sends bytes on each.
+func flood(t *testing.T, address string, connections int, bytes string) {
+	t.Helper()
+	for range connections {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		go func() { _, _ = conn.Write([]byte(bytes)) }()
+	}
+}
+
 func startHostServer(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/store/sender.go
+++ b/pkg/store/sender.go
@@ -111,53 +111,73 @@
 	err    error
 }
 
+// sendings are the concurrent sendings of one call.
+type sendings struct {
+	sender  *Sender
+	call    Call
+	done    chan sending
+	cancels []context.CancelFunc
+	ended   int
+	// reused is set if the last one got a connection that was idle before.
+	reused atomic.Bool
+}
+
 // firstResponse returns the first response to a call, which may be sent twice. The body of
 // the response can be read until ctx ends.
 func (s *Sender) firstResponse(ctx context.Context, call Call) (*http.Response, error) {
-	done := make(chan sending, 2)
-	var cancels []context.CancelFunc
-	var reused atomic.Bool
-	start := func() {
-		ctx, cancel := context.WithCancel(ctx)
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }})
-		number := len(cancels)
-		cancels = append(cancels, cancel)
-		go func() {
-			resp, err := s.do(ctx, call)
-			done <- sending{number, resp, err}
-		}()
-	}
-	start()
+	all := &sendings{sender: s, call: call, done: make(chan sending, 2)}
+	all.start(ctx)
 	timer := time.NewTimer(resendDelay)
 	defer timer.Stop()
-	for ended := 0; ; {
+	for {
 		select {
-		case first := <-done:
-			ended++
-			if first.err != nil && ended < len(cancels) {
-				continue
-			}
-			for number, cancel := range cancels {
-				if number != first.number || first.err != nil {
-					cancel()
-				}
+		case one := <-all.done:
+			all.ended++
+			if one.err == nil || all.ended == len(all.cancels) {
+				all.endOthers(one)
+				return one.resp, one.err
 			}
-			for ; ended < len(cancels); ended++ {
-				if late := <-done; late.resp != nil {
-					_ = late.resp.Body.Close()
-				}
-			}
-			return first.resp, first.err
 		case <-timer.C:
-			if call.Method == http.MethodGet && call.Wait < resendDelay && reused.Load() {
+			if all.mayResend() {
 				s.Count(`hibiscusrock_store_reads_resent_total`)
 				s.http.CloseIdleConnections()
-				start()
+				all.start(ctx)
 			}
 		}
 	}
 }
 
+func (all *sendings) start(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { all.reused.Store(info.Reused) }})
+	number := len(all.cancels)
+	all.cancels = append(all.cancels, cancel)
+	go func() {
+		resp, err := all.sender.do(ctx, all.call)
+		all.done <- sending{number, resp, err}
+	}()
+}
+
+// mayResend reports whether the call is a read that should have been answered by now and was
+// sent on a connection that was idle before.
+func (all *sendings) mayResend() bool {
+	return all.call.Method == http.MethodGet && all.call.Wait < resendDelay && all.reused.Load()
+}
+
+// endOthers ends all sendings but the one whose response is used, and waits for their end.
+func (all *sendings) endOthers(used sending) {
+	for number, cancel := range all.cancels {
+		if number != used.number || used.err != nil {
+			cancel()
+		}
+	}
+	for ; all.ended < len(all.cancels); all.ended++ {
+		if late := <-all.done; late.resp != nil {
+			_ = late.resp.Body.Close()
+		}
+	}
+}
+
 func (s *Sender) do(ctx context.Context, call Call) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, call.URL, bytes.NewReader(call.Body))
 	if err != nil {
