Keep a rollback when another leader takes over

Cause: two leaders overlap when the store is out of reach for the older one. plateau-7 was elected at 4.673 s and read the record of almadies-4 (moving); at 4.819 s almadies-4 found the version slow and published the rollback with its own, lower epoch; at 4.850 s plateau-7 published its first decision, moving, with a higher one. The rollback was lost with the leader that had decided it. All nodes held it and sent the version nothing, so plateau-7 saw no request of either version, and published done at 16.7 s, which nodes accept after a rollback.

Change: a rollback is published as a halt as well, as release mode does. It is one record for each service with the order's revision as epoch, which no newer leader replaces. Nodes obey it, and a leader that goes on with the move adopts it. The state done, which is in the operators' status before nodes receive it, still counts more.

Why it works: halts are only ever added for an order, so two leaders that differ agree once either's halt has arrived, in whatever order records come.

--- a/pkg/node/host.go
+++ b/pkg/node/host.go
@@ -206,7 +206,7 @@
 		view := (*n.moves.views.Load())[move.GetService()]
 		state := MoveState{Service: move.GetService(), To: move.GetTo(), Permille: view.permille, State: rollout.PhaseName(view.share.GetState()), Note: view.share.GetNote()}
 		if view.halt != nil {
-			state.Halt = view.halt.GetCause() + " on " + view.halt.GetRoute() + ": " + view.halt.GetFigures()
+			state.Halt = haltSummary(view.halt)
 		}
 		s.Moves = append(s.Moves, state)
 	}
--- a/pkg/node/store_halts_test.go
+++ b/pkg/node/store_halts_test.go
@@ -65,6 +65,28 @@
 	}
 }
 
+// checkRolledBack checks that the second leader has rolled the version back, and that the
+// follower sends it no requests.
+func (c *leaderChange) checkRolledBack(t *testing.T) {
+	t.Helper()
+	record := c.second.records.Get(gossip.PrefixRollout + "quotes")
+	if got, want := record.GetRollout().GetState(), wire.MoveState_MOVE_STATE_TAKEN_BACK; got != want {
+		t.Errorf("the new leader's state is %v, want %v", got, want)
+	}
+	if record.GetRollout().GetCause() == "" {
+		t.Error("the new leader names no cause")
+	}
+	if got, want := record.GetEpoch(), uint64(37); got != want {
+		t.Errorf("the epoch of the new leader's record is %d, want %d", got, want)
+	}
+	if !c.follower.isHalted("quotes", "v2") {
+		t.Error("the version is not halted on the follower")
+	}
+	if got := c.follower.shares("quotes")["v2"]; got != 0 {
+		t.Errorf("the follower sends the version %d permille, want 0", got)
+	}
+}
+
 // TestRollbackOutlivesLeader guards against a bad version that gets all traffic because
 // its rollback met a change of the leader: the new leader, which has not seen the failures,
 // must not go on with a version that the old one rolled back.
@@ -104,21 +126,36 @@
 			change(c)
 			copyRecords(c.first, c.follower)
 			copyRecords(c.second, c.follower)
-			record := c.second.records.Get(gossip.PrefixRollout + "quotes")
-			if got, want := record.GetRollout().GetState(), wire.MoveState_MOVE_STATE_TAKEN_BACK; got != want {
-				t.Errorf("the new leader's state is %v, want %v", got, want)
-			}
-			if record.GetRollout().GetCause() == "" {
-				t.Error("the new leader names no cause")
-			}
-			if got, want := record.GetEpoch(), uint64(37); got != want {
-				t.Errorf("the epoch of the new leader's record is %d, want %d", got, want)
-			}
-			if !c.follower.isHalted("quotes", "v2") {
-				t.Error("the version is not halted on the follower")
-			}
-			if got := c.follower.shares("quotes")["v2"]; got != 0 {
-				t.Errorf("the follower sends the version %d permille, want 0", got)
+			c.checkRolledBack(t)
+		})
+	}
+}
+
+// TestHaltBeforeOrder guards against a node that sends requests to a version which was
+// rolled back before the node learned of the order.
+func TestHaltBeforeOrder(t *testing.T) {
+	tests := map[string]struct {
+		revision uint64
+		learn    func(*storeRollouts)
+		want     bool
+	}{
+		"order from the store":           {testOrderRevision, (*storeRollouts).receiveTestOrder, true},
+		"order from the leader's record": {testOrderRevision, func(r *storeRollouts) { r.receiveDecision(100, wire.MoveState_MOVE_STATE_MOVING) }, true},
+		"halt of an earlier order":       {testOrderRevision - 1, (*storeRollouts).receiveTestOrder, false},
+		"done despite the halt": {testOrderRevision, func(r *storeRollouts) {
+			r.receiveTestOrder()
+			r.receiveDecision(1000, wire.MoveState_MOVE_STATE_DONE)
+		}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRollouts(t, "v1", "v2")
+			r.records.Set(&wire.Record{Key: orderHaltKey("quotes"), Epoch: test.revision, Body: &wire.Record_Halt{Halt: &wire.Halt{
+				Service: "quotes", Version: "v2", Sequence: test.revision,
+			}}})
+			test.learn(r)
+			if got := r.isHalted("quotes", "v2"); got != test.want {
+				t.Errorf("the version is halted: got %v, want %v", got, test.want)
 			}
 		})
 	}
--- a/pkg/node/store_orders.go
+++ b/pkg/node/store_orders.go
@@ -27,6 +27,8 @@
 	record     *wire.Rollout
 	receivedAt time.Time
 	epoch      uint64
+	// halt is set once a leader has rolled the version back, even if another one leads now.
+	halt *wire.Halt
 	// strandedAt is when the leader first reported that it cannot reach the store.
 	strandedAt time.Time
 	// sentProgress is that of the evidence last sent; it is sent once although no
@@ -49,6 +51,18 @@
 	return !t.record.GetReported() || store.EraOf(int64(t.epoch)) < era
 }
 
+// isRolledBack reports whether a leader has rolled the version back. The state done
+// is in the operators' status before nodes receive it, so it is the one that counts then.
+func (t *trackedOrder) isRolledBack() bool {
+	switch t.record.GetState() {
+	case wire.MoveState_MOVE_STATE_DONE:
+		return false
+	case wire.MoveState_MOVE_STATE_TAKEN_BACK:
+		return true
+	}
+	return t.halt != nil
+}
+
 // orderBook holds the newest order of each service and some earlier ones. It is not
 // safe for concurrent use.
 //
--- a/pkg/node/store_rollouts.go
+++ b/pkg/node/store_rollouts.go
@@ -97,6 +97,7 @@
 	}
 	if isNew {
 		r.adoptEarlierRecord(t, replaced)
+		r.adoptEarlierHalt(t, replaced)
 	}
 	r.mu.Unlock()
 	if isNew {
@@ -139,6 +140,10 @@
 // observe applies the decisions that leaders publish. A node that has not read
 // the order from the store takes it from the leader's record.
 func (r *storeRollouts) observe(record *wire.Record) {
+	if halt := record.GetHalt(); halt != nil {
+		r.observeHalt(halt)
+		return
+	}
 	update := record.GetRollout()
 	if update == nil {
 		return
@@ -152,6 +157,7 @@
 	if replaced != nil {
 		r.keepEstablished(update.GetService(), replaced)
 	}
+	r.adoptEarlierHalt(t, replaced)
 	t.receivedAt = r.Now()
 	switch {
 	case !update.GetStranded():
@@ -185,7 +191,7 @@
 	t := r.orders.newest[service]
 	base := r.baseVersion(service, t, versions)
 	shares := routing.Shares{base: bundle.FullPermille}
-	if t == nil || t.record == nil {
+	if t == nil || t.record == nil || t.isRolledBack() {
 		return shares
 	}
 	switch t.record.GetState() {
@@ -230,7 +236,7 @@
 		return version != t.order.Version
 	}
 	if t != nil && version == t.order.Version {
-		return isFinal(t.record)
+		return t.isRolledBack()
 	}
 	base := r.baseVersion(service, t, versions)
 	return base != "" && version != base && slices.Contains(versions, base)
@@ -242,7 +248,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.orders.newest[service]
-	return t != nil && t.order.Version == version && !isFinal(t.record)
+	return t != nil && t.order.Version == version && !isFinal(t.record) && !t.isRolledBack()
 }
 
 // run sends evidence and, on the leader, decides the shares of all open orders,
--- a/pkg/node/store_shares.go
+++ b/pkg/node/store_shares.go
@@ -103,6 +103,7 @@
 	r.lead(t, d)
 	service := t.order.Service
 	d.evaluator.Observe(r.Now(), r.evidence(t))
+	adopted := r.adoptHalt(t, d)
 	finding, changed := d.evaluator.StepBounded(rollout.BoundedInput{
 		Now:        r.Now(),
 		Deadline:   d.deadline,
@@ -116,7 +117,7 @@
 	if changed {
 		r.logComparisons(t, d.evaluator)
 	}
-	r.publishDecision(t, d, changed)
+	r.publishDecision(t, d, changed || adopted)
 }
 
 // logComparisons logs the figures on which the share of an order's version was
@@ -205,12 +206,9 @@
 
 // rollBack ends the rollout of a version because of a finding.
 func (r *storeRollouts) rollBack(t *trackedOrder, d *orderDecisions, finding *rollout.Finding) {
-	d.cause = finding.Cause + " on " + finding.Route + ": " + finding.Figures
-	state := d.evaluator.State()
-	state.Phase = wire.MoveState_MOVE_STATE_TAKEN_BACK
-	state.Permille = 0
-	state.Since = r.Now()
-	d.evaluator.Resume(state)
+	halt := r.publishHalt(t, finding)
+	d.cause = haltSummary(halt)
+	d.evaluator.RollBack(r.Now())
 	r.Count(`hibiscusrock_versions_taken_back_total`)
 	r.Event(event.VersionRolledBack).WithFields(logrus.Fields{"service": t.order.Service, "version": t.order.Version, "cause": d.cause}).Warn("version rolled back")
 }
--- a/pkg/rollout/evaluator.go
+++ b/pkg/rollout/evaluator.go
@@ -29,6 +29,13 @@
 // Resume sets the state to the one that another evaluator of the move reached.
 func (e *Evaluator) Resume(s State) { e.state = s }
 
+// RollBack sets the state to rolled back.
+func (e *Evaluator) RollBack(now time.Time) {
+	e.state.Phase = wire.MoveState_MOVE_STATE_TAKEN_BACK
+	e.state.Permille = 0
+	e.state.Since = now
+}
+
 // Observe adds the totals that the owner nodes report at a time.
 func (e *Evaluator) Observe(now time.Time, evidence []*wire.Evidence) { e.history.Add(now, evidence) }
 
