Restart a background loop that panics

What callers saw: a panic in any background loop (gossip, probes, registration, the watch of the store) ended the process, and with it every request in flight on the host. A key of the store whose processing panics would have done so on all hosts, and again after each start.

Cause: only the steps of roll-outs, exchanges with peers, callers' connections and peers' calls had a recovery boundary.

Change: startLoop contains a loop and starts it again after a second; startTask contains work that runs once. Each key of the store has its own boundary, so one does not hide those behind it. Loops that start others end them when they panic, or two would run. Locks that were released by a plain call after work that may panic (orders, gossip records, releases) are released by defer, as a boundary that leaves a lock behind would hang the node.

Why it works: the panic is counted and logged with its stack, and the loops keep no state in their frames that a restart needs.

Not bounded: the progress message of a call and the writing of a long body, which only call the library.

--- a/pkg/distribution/enforce.go
+++ b/pkg/distribution/enforce.go
@@ -44,13 +44,7 @@
 // Tick enforces the newest release if it may be enforced: Start was called, the
 // release is newer than the one in force, and enough other nodes hold it.
 func (h *Holder) Tick() {
-	required := min(minHolders, h.alivePeers())
-	h.mu.Lock()
-	next := h.enforceable(required)
-	if next != nil {
-		h.enforced.Store(next.table)
-	}
-	h.mu.Unlock()
+	next := h.enforceNext(min(minHolders, h.alivePeers()))
 	if next == nil {
 		return
 	}
@@ -59,6 +53,18 @@
 	h.onEnforced(next.table)
 }
 
+// enforceNext enforces the newest release if it may be enforced and returns it, and nil
+// otherwise.
+func (h *Holder) enforceNext(required int) *verifiedRelease {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := h.enforceable(required)
+	if next != nil {
+		h.enforced.Store(next.table)
+	}
+	return next
+}
+
 // enforceable returns the newest release if it may be enforced, and nil
 // otherwise. required is the number of other nodes of the data centre that must
 // hold the release. The caller holds h.mu.
--- a/pkg/distribution/offer.go
+++ b/pkg/distribution/offer.go
@@ -217,16 +217,20 @@
 
 // hold makes next the newest release held and drops the parts that it does not use.
 func (h *Holder) hold(next *verifiedRelease) {
+	h.keep(next)
+	h.Count(`hibiscusrock_release_held_total`)
+	h.onHeld(next.document)
+	h.Tick()
+}
+
+func (h *Holder) keep(next *verifiedRelease) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.newest = next
 	sequence := next.document.Sequence()
 	h.history[sequence] = next.document.Signed()
 	delete(h.history, sequence-maxHistoryLength)
 	h.dropUnusedParts(next.manifest)
-	h.mu.Unlock()
-	h.Count(`hibiscusrock_release_held_total`)
-	h.onHeld(next.document)
-	h.Tick()
 }
 
 // discardParts removes the parts that were fetched for a refused release.
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -108,7 +108,7 @@
 		{RequestRefusedByOwner, "The node of the backend server refused a request before it ran.", run + ", retry_after_ms"},
 		{RequestOutcomeUnknown, "A request was sent to the backend server, but no complete answer was received.", run + ", elapsed_ms"},
 		{RequestFailedByBackend, "The backend server answered with a status of 500 or above.", run + ", status"},
-		{HandlerPanicked, "A part of the program panicked. Only what it did was ended: the connection of a caller or peer, a call, or an exchange with a peer.", "scope, error, stack"},
+		{HandlerPanicked, "A part of the program panicked. Only what it did was ended: the connection of a caller or peer, a call, an exchange with a peer, or the processing of a key of the store. A background loop starts again after a second.", "scope, error, stack"},
 		{AnswerMismatched, "An answer that belongs to another request was dropped.", "request, instance"},
 	}
 }
--- a/pkg/gossip/store.go
+++ b/pkg/gossip/store.go
@@ -133,21 +133,28 @@
 		return false
 	}
 	bucket := bucketOf(r.GetKey())
-	sh := &s.shards[bucket%shardCount]
+	if !s.shards[bucket%shardCount].replace(bucket, r) {
+		return false
+	}
+	for _, changed := range s.onChange {
+		changed(r)
+	}
+	return true
+}
+
+// replace stores a record of a bucket if it is newer than the one stored, and reports
+// whether it did.
+func (sh *shard) replace(bucket int, r *wire.Record) bool {
 	sh.mu.Lock()
+	defer sh.mu.Unlock()
 	old := sh.records[r.GetKey()]
 	if old != nil && !Newer(r, old) {
-		sh.mu.Unlock()
 		return false
 	}
 	sh.records[r.GetKey()] = r
 	if isDurable(r.GetKey()) {
 		sh.digests[bucket/shardCount] ^= digestOf(old) ^ digestOf(r)
 	}
-	sh.mu.Unlock()
-	for _, changed := range s.onChange {
-		changed(r)
-	}
 	return true
 }
 
--- a/pkg/node/probes.go
+++ b/pkg/node/probes.go
@@ -65,6 +65,7 @@
 		}
 		sent++
 		go func() {
+			defer n.Contain("indirect probe", func() { reached <- false })
 			out, err := n.control.Ping(ctx, helper.GetAddress(), indirectProbeTimeout, &wire.PingRequest{TargetAddress: member.GetAddress()})
 			reached <- err == nil && out.GetReached()
 		}()
--- a/pkg/node/release_bootstrapper.go
+++ b/pkg/node/release_bootstrapper.go
@@ -59,7 +59,12 @@
 // maintains the seeds. The platform is polled concurrently, so that an outage of
 // the platform does not delay the join.
 func (b *releaseBootstrapper) run(ctx context.Context) {
-	polling := startLoop(ctx, b.pollPlatform)
+	ctx, cancel := context.WithCancel(ctx)
+	polling := b.startLoop(ctx, "first read of the platform", b.pollPlatform)
+	defer func() {
+		cancel()
+		<-polling
+	}()
 	pauses := newJoinBackoff(maxJoinPause)
 	for ctx.Err() == nil && !b.isStarted() {
 		b.join(ctx)
@@ -67,7 +72,6 @@
 		common.Sleep(ctx, pauses.NextBackOff())
 	}
 	b.maintainSeeds(ctx)
-	<-polling
 }
 
 func (b *releaseBootstrapper) pollPlatform(ctx context.Context) {
--- a/pkg/node/release_watch.go
+++ b/pkg/node/release_watch.go
@@ -34,7 +34,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	changes := make(chan store.KeyValue, 1)
-	ended := startLoop(ctx, func(ctx context.Context) {
+	ended := n.startTask(ctx, "watch of the newest release", func(ctx context.Context) {
 		_ = n.platform.Watch(ctx, store.HeadKey, func(kv store.KeyValue) { replace(changes, kv) })
 	})
 	ticker := time.NewTicker(headPollInterval)
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -212,22 +212,24 @@
 func (n *Node) startLoops(ctx context.Context) []<-chan struct{} {
 	n.members.Join()
 	loops := []<-chan struct{}{
-		startLoop(ctx, n.gossiper.run),
-		startLoop(ctx, n.gossiper.runRelayQueue),
-		startLoop(ctx, n.runProbes),
-		startLoop(ctx, n.runHousekeeping),
+		n.startLoop(ctx, "gossip", n.gossiper.run),
+		n.startLoop(ctx, "relay queue", n.gossiper.runRelayQueue),
+		n.startLoop(ctx, "probes", n.runProbes),
+		n.startLoop(ctx, "housekeeping", n.runHousekeeping),
 	}
 	if n.adapter != nil {
-		return append(loops, startLoop(ctx, n.storeBootstrapper.run), startLoop(ctx, n.followStore), startLoop(ctx, n.keepConfirmed), startLoop(ctx, n.rollouts.run))
+		return append(
+			loops,
+			n.startLoop(ctx, "registration and join", n.storeBootstrapper.run),
+			n.startLoop(ctx, "watch of the store", n.followStore),
+			n.startLoop(ctx, "confirmation of the configuration", n.keepConfirmed),
+			n.startLoop(ctx, "roll-outs", n.rollouts.run),
+		)
 	}
-	return append(loops, startLoop(ctx, n.releaseBootstrapper.run), startLoop(ctx, n.runRelay), startLoop(ctx, n.moves.run))
-}
-
-func startLoop(ctx context.Context, run func(context.Context)) <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		run(ctx)
-	}()
-	return done
+	return append(
+		loops,
+		n.startLoop(ctx, "seeds and join", n.releaseBootstrapper.run),
+		n.startLoop(ctx, "watch of the newest release", n.runRelay),
+		n.startLoop(ctx, "moves", n.moves.run),
+	)
 }
--- a/pkg/node/store_bootstrapper.go
+++ b/pkg/node/store_bootstrapper.go
@@ -60,7 +60,8 @@
 	// servers.
 	changed chan struct{}
 	// joinTried is closed after the first attempt to join through registered nodes.
-	joinTried chan struct{}
+	joinTried     chan struct{}
+	joinTriedOnce sync.Once
 	// reachedPeers is set if that attempt reached one of at least minRegistered.
 	reachedPeers atomic.Bool
 
@@ -186,14 +187,19 @@
 // run registers this node, joins the other nodes, and joins again whenever no
 // peer is alive.
 func (b *storeBootstrapper) run(ctx context.Context) {
-	registering := startLoop(ctx, b.keepRegistered)
+	ctx, cancel := context.WithCancel(ctx)
+	registering := b.startLoop(ctx, "registration", b.keepRegistered)
+	defer func() {
+		cancel()
+		<-registering
+	}()
 	timeout := time.AfterFunc(joinTimeout, func() { b.completeJoin(ctx, "patience") })
 	defer timeout.Stop()
 	pauses := newJoinBackoff(isolatedRetryInterval)
 	if b.join(ctx) {
 		b.reachedPeers.Store(len(b.registrar.addresses()) >= minRegistered)
 	}
-	close(b.joinTried)
+	b.joinTriedOnce.Do(func() { close(b.joinTried) })
 	for ctx.Err() == nil {
 		if b.joined.Load() && b.countAlivePeers() > 0 {
 			common.Sleep(ctx, common.Jittered(isolatedRetryInterval))
@@ -202,7 +208,6 @@
 		common.Sleep(ctx, pauses.NextBackOff())
 		b.join(ctx)
 	}
-	<-registering
 }
 
 // join exchanges records with registered nodes and reports whether one answered or
--- a/pkg/node/store_heartbeats.go
+++ b/pkg/node/store_heartbeats.go
@@ -39,7 +39,7 @@
 func (n *Node) propagateLeave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, maxLeaveWait)
 	defer cancel()
-	updating := startLoop(ctx, func(ctx context.Context) { n.storeBootstrapper.registrar.update(ctx) })
+	updating := n.startTask(ctx, "registration", func(ctx context.Context) { n.storeBootstrapper.registrar.update(ctx) })
 	n.gossiper.round(ctx, pushFanout)
 	<-updating
 }
--- a/pkg/node/store_rollouts.go
+++ b/pkg/node/store_rollouts.go
@@ -90,7 +90,18 @@
 		return
 	}
 	order.Revision = kv.ModRevision
+	if r.track(order) {
+		r.Event(event.OrderSeen).WithFields(logrus.Fields{
+			"service": order.Service, "version": order.Version, "revision": store.NumberOf(order.Revision), "era": store.EraOf(order.Revision), "duration_ms": order.Duration.Milliseconds(),
+		}).Info("order seen")
+		wake(r.woken)
+	}
+}
+
+// track tracks an order that was read from the store, and reports whether it is a new one.
+func (r *storeRollouts) track(order rollout.Order) bool {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	t, replaced, isNew := r.orders.receive(order, r.Now())
 	if replaced != nil {
 		r.keepEstablished(order.Service, replaced)
@@ -99,13 +110,7 @@
 		r.adoptEarlierRecord(t, replaced)
 		r.adoptEarlierHalt(t, replaced)
 	}
-	r.mu.Unlock()
-	if isNew {
-		r.Event(event.OrderSeen).WithFields(logrus.Fields{
-			"service": order.Service, "version": order.Version, "revision": store.NumberOf(order.Revision), "era": store.EraOf(order.Revision), "duration_ms": order.Duration.Milliseconds(),
-		}).Info("order seen")
-		wake(r.woken)
-	}
+	return isNew
 }
 
 // adoptEarlierRecord adopts the leader's record about an order if it arrived before the
@@ -254,7 +259,12 @@
 // run sends evidence and, on the leader, decides the shares of all open orders,
 // every decisionInterval and at once after a new order.
 func (r *storeRollouts) run(ctx context.Context) {
-	reports := startLoop(ctx, r.runReports)
+	ctx, cancel := context.WithCancel(ctx)
+	reports := r.startLoop(ctx, "reports of roll-outs", r.runReports)
+	defer func() {
+		cancel()
+		<-reports
+	}()
 	ticker := time.NewTicker(decisionInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -273,7 +283,6 @@
 			}
 		})
 	}
-	<-reports
 }
 
 // forEach calls step for each order. A panic of one is reported and does not keep the
@@ -369,6 +378,6 @@
 	}
 	r.records.Set(record)
 	if address, ok := r.address(leader); ok && leader != r.settings.Node {
-		go r.gossiper.sendTo(ctx, address, record)
+		r.startTask(ctx, "evidence for the leader", func(ctx context.Context) { r.gossiper.sendTo(ctx, address, record) })
 	}
 }
--- a/pkg/node/store_shares.go
+++ b/pkg/node/store_shares.go
@@ -140,9 +140,7 @@
 // after the operators.
 func (r *storeRollouts) report(ctx context.Context, t *trackedOrder) {
 	d := r.decisionsFor(t)
-	d.mu.Lock()
-	r.lead(t, d)
-	d.mu.Unlock()
+	r.takeOver(t, d)
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	if !d.isStatusRead() && !r.readStatus(ctx, t, d) {
@@ -161,6 +159,12 @@
 	return d.statusRead
 }
 
+func (r *storeRollouts) takeOver(t *trackedOrder, d *orderDecisions) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.lead(t, d)
+}
+
 // lead continues from the newest record of an earlier leader. The caller holds d.mu.
 func (r *storeRollouts) lead(t *trackedOrder, d *orderDecisions) {
 	if d.leads {
--- a/pkg/node/store_watch.go
+++ b/pkg/node/store_watch.go
@@ -62,7 +62,10 @@
 	return 0
 }
 
+// receiveOperatorKey processes a key that operators write. A panic is reported and leaves
+// what this node holds as it is.
 func (n *Node) receiveOperatorKey(kv store.KeyValue) {
+	defer n.Contain("key "+kv.Key+" of the store", nil)
 	switch {
 	case kv.Key == n.adapter.ConfigurationKey:
 		n.offerSnapshot(kv.ModRevision, kv.Value, "store")
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -253,6 +253,7 @@
 	checked := make(chan struct{})
 	go func() {
 		defer close(checked)
+		defer f.Contain("check of a watch", nil)
 		for {
 			select {
 			case <-ctx.Done():
