Take an early empty answer of a watch as evidence of its beginning

A node could hold a configuration for older than it believed.

Cause: an empty answer counted as evidence of the time of its arrival when that was before the wait was over. It may have left the store at any time since the watch began, and been delayed on its way.

Evidence: TestConfirmationOfEmptyWatch, a virtual clock; the row "before the wait is over" got evidence of 700 ms after the beginning, wanted that of the beginning.

Change: such an answer shows only what held when the watch began. Waits are whole milliseconds now, as the store counts them: else each answer would come a part of a millisecond early.

--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -186,7 +186,8 @@
 			common.Sleep(ctx, turnInterval)
 			continue
 		}
-		wait = max(minWatchWait, wait-f.Now().Sub(confirmedAt))
+		// The store counts whole milliseconds, and an answer before the wait is over shows less.
+		wait = max(minWatchWait, wait-f.Now().Sub(confirmedAt)).Truncate(time.Millisecond)
 		began := f.Now()
 		events, next, err := f.watchOnce(ctx, revision, wait)
 		if errors.Is(err, errOutdated) {
@@ -204,7 +205,7 @@
 			common.Sleep(ctx, max(minBatchPause, min(batchPause, maxBatchAge-f.Now().Sub(began))))
 			continue
 		}
-		confirmedAt = earlier(began.Add(wait), f.Now())
+		confirmedAt = f.confirmedByWaiting(began, wait)
 		f.onConfirmed(confirmedAt, revision)
 	}
 	return ctx.Err()
@@ -227,11 +228,14 @@
 	return nil
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+// confirmedByWaiting returns the time up to which a watch without changes, which just ended,
+// shows that there were none.
+func (f *Follower) confirmedByWaiting(began time.Time, wait time.Duration) time.Time {
+	if f.Now().Sub(began) < wait {
+		// The answer may have left the store at any time since the watch began.
+		return began
 	}
-	return b
+	return began.Add(wait)
 }
 
 func (f *Follower) logWait(wait time.Duration) {
