--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -79,8 +79,8 @@
 	plannedStart time.Time
 	lastDecrease time.Time
 	closeRefusal *verdict.Refusal
-	// end is when the process of this gate ends, or zero.
-	end time.Time
+	// finishBy is when the process of this gate ends, or zero.
+	finishBy time.Time
 }
 
 // GateOption configures a Gate.
@@ -167,12 +167,12 @@
 	g.closeRefusal = nil
 }
 
-// EndAt refuses all waiting and further requests that may still run at the given time,
+// FinishBy refuses all waiting and further requests that may still run at the given time,
 // when this process ends. The zero time sets no bound. Running requests are not affected.
-func (g *Gate) EndAt(end time.Time) {
+func (g *Gate) FinishBy(end time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.end = end
+	g.finishBy = end
 	now := g.now()
 	for _, w := range g.queue {
 		w.latestStart = g.latestStart(w.work, now)
@@ -186,14 +186,14 @@
 // first always ends in time. One of a kind whose time is not known may take until its
 // deadline.
 func (g *Gate) latestStart(work Work, now time.Time) time.Time {
-	end := work.finishBy(g.end)
-	if end.IsZero() || !work.Deadline.After(end) {
+	finishBy := earliest(work.FinishBy, g.finishBy)
+	if finishBy.IsZero() || !work.Deadline.After(finishBy) {
 		return time.Time{}
 	}
 	if bound, known := g.estimates.bound(work.Kind, now); known {
-		return end.Add(-bound)
+		return finishBy.Add(-bound)
 	}
-	return end.Add(-work.Deadline.Sub(now))
+	return finishBy.Add(-work.Deadline.Sub(now))
 }
 
 // planRefusal arranges that a queued request is refused as soon as it can no longer
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -36,12 +36,12 @@
 	return w.Objective
 }
 
-// finishBy returns the earlier one of FinishBy and end, of which zero times set no bound.
-func (w Work) finishBy(end time.Time) time.Time {
-	if w.FinishBy.IsZero() || !end.IsZero() && end.Before(w.FinishBy) {
-		return end
+// earliest returns the earlier one of two times, of which zero ones set no bound.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
 	}
-	return w.FinishBy
+	return a
 }
 
 // waiter is one request that is queued or considered for admission.
--- a/pkg/admission/stop_test.go
+++ b/pkg/admission/stop_test.go
@@ -118,7 +118,7 @@
 				work.FinishBy = g.now().Add(test.finish)
 			}
 			if test.end > 0 {
-				g.EndAt(g.now().Add(test.end))
+				g.FinishBy(g.now().Add(test.end))
 			}
 			_, refusal := g.Acquire(context.Background(), work)
 			if got := reasonOf(refusal); got != test.want {
@@ -146,7 +146,7 @@
 		after  func(g *stopGate)
 	}{
 		"entry node stops": {func(g *stopGate, work *Work) { work.FinishBy = g.now().Add(finish) }, func(*stopGate) {}},
-		"this node stops":  {func(*stopGate, *Work) {}, func(g *stopGate) { g.EndAt(g.now().Add(finish)) }},
+		"this node stops":  {func(*stopGate, *Work) {}, func(g *stopGate) { g.FinishBy(g.now().Add(finish)) }},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/request/backends.go
+++ b/pkg/request/backends.go
@@ -212,7 +212,7 @@
 		b.rateLimit.since = o.Now()
 		b.upCtx, b.cancelUp = context.WithCancel(context.Background())
 		b.client, b.close = backend.NewClient(record.GetAddress(), o.Now)
-		b.gate.EndAt(o.finishBy)
+		b.gate.FinishBy(o.finishBy)
 		o.backends[record.GetInstance()] = b
 	}
 	return b, known
--- a/pkg/request/owner.go
+++ b/pkg/request/owner.go
@@ -231,7 +231,7 @@
 	o.finishBy = finishBy
 	o.mu.Unlock()
 	for _, b := range o.Backends() {
-		b.gate.EndAt(finishBy)
+		b.gate.FinishBy(finishBy)
 	}
 }
 
