Refuse for a node that has not joined by a reason of its own

Cause: an owner node that had not received the state of the others refused as if the version were halted, since it cannot know. The entry node then leaves the whole version out, though other nodes of it had joined and would have served.

Evidence: TestNodeThatHasNotJoined; with the former reason the request is refused after 1 node was asked, of 4 of which the last serves.

Change: the reason not_joined.

Figures: the test, before status 503 after 1 node, now 200 after 4.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -154,6 +154,7 @@
 	var cleanUp func()
 	n.owner, cleanUp = request.NewOwner(n.Common, n.recorder, n.crashTracker, request.OwnerHooks{
 		QueueLength:  n.queueLength,
+		Joined:       func() bool { return true },
 		Halted:       n.isHalted,
 		IsMoveTarget: n.isMoving,
 		Announce:     n.announce,
--- a/pkg/node/store_adapter.go
+++ b/pkg/node/store_adapter.go
@@ -72,10 +72,9 @@
 	n.recorder = rollout.NewRecorder(n.Now)
 	var cleanUp func()
 	n.owner, cleanUp = request.NewOwner(n.Common, n.recorder, n.crashTracker, request.OwnerHooks{
-		QueueLength: n.queueLength,
-		Halted: func(service, version string) bool {
-			return !n.storeBootstrapper.hasJoined() || n.rollouts.isHalted(service, version)
-		},
+		QueueLength:  n.queueLength,
+		Joined:       n.storeBootstrapper.hasJoined,
+		Halted:       n.rollouts.isHalted,
 		IsMoveTarget: n.rollouts.isMoving,
 		Announce:     n.announce,
 	}, request.WithOwnerHeaders(n.adapter.Headers))
--- a/pkg/request/heartbeats_test.go
+++ b/pkg/request/heartbeats_test.go
@@ -24,6 +24,7 @@
 	crashTracker := quarantine.NewCrashTracker(cm, gossip.New(), "self", func() uint64 { return 1 })
 	o, cleanUp := NewOwner(cm, rollout.NewRecorder(cm.Now), crashTracker, OwnerHooks{
 		QueueLength:  func(string) int { return 8 },
+		Joined:       func() bool { return true },
 		Halted:       func(string, string) bool { return false },
 		IsMoveTarget: func(string, string) bool { return false },
 		Announce:     func(*wire.Endpoint) {},
--- a/pkg/request/owner.go
+++ b/pkg/request/owner.go
@@ -50,6 +50,9 @@
 type OwnerHooks struct {
 	// QueueLength returns the queue length of a service.
 	QueueLength func(service string) int
+	// Joined reports whether this node has received the state of the others, without which
+	// it does not know which versions are halted.
+	Joined func() bool
 	// Halted reports whether a version of a service must get no requests.
 	Halted func(service, version string) bool
 	// IsMoveTarget reports whether a version is the new version of a move.
@@ -136,6 +139,9 @@
 	if b == nil {
 		return nil, verdict.Refuse(verdict.NotRun, verdict.UnknownInstance)
 	}
+	if !o.hooks.Joined() {
+		return nil, verdict.Refuse(verdict.NotRun, verdict.NotJoined)
+	}
 	record := b.Record()
 	if o.hooks.Halted(record.GetService(), record.GetVersion()) {
 		return nil, verdict.Refuse(verdict.NotRun, verdict.VersionHalted)
--- a/pkg/request/owner_test.go
+++ b/pkg/request/owner_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -48,6 +49,7 @@
 	no := func(string, string) bool { return false }
 	o, cleanUp := NewOwner(cm, rollout.NewRecorder(cm.Now), crashTracker, OwnerHooks{
 		QueueLength:  func(string) int { return 4 },
+		Joined:       func() bool { return true },
 		Halted:       no,
 		IsMoveTarget: no,
 		Announce:     func(*wire.Endpoint) {},
@@ -135,3 +137,23 @@
 		})
 	}
 }
+
+// TestNodeThatHasNotJoined guards against a request that is refused although a node could
+// serve it, because another one that has just started does not know its version's state.
+func TestNodeThatHasNotJoined(t *testing.T) {
+	started := newServingOwner(t, func(conn net.Conn) { _, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")) })
+	started.hooks.Joined = func() bool { return false }
+	e, _ := newTestEntry(t, 4, nil)
+	asked := 0
+	e.hooks.CallPeer = func(ctx context.Context, _ string, in *wire.CallRequest, received func(*wire.CallAnswer) error) error {
+		if asked++; asked < 4 {
+			return started.Serve(ctx, in, received)
+		}
+		return answered.respond(received)
+	}
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/x", strings.NewReader("body")))
+	if asked != 4 || w.Code != http.StatusOK {
+		t.Errorf("got status %d after %d nodes were asked, want %d after 4", w.Code, asked, http.StatusOK)
+	}
+}
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -72,6 +72,7 @@
 	PeerSilent        Reason = "peer_silent"
 	DeadlineTooNear   Reason = "deadline_too_near"
 	DeadlinePassed    Reason = "deadline_passed"
+	NotJoined         Reason = "not_joined"
 	VersionHalted     Reason = "version_halted"
 	BackendFailing    Reason = "backend_server_failing"
 	BackendRefused    Reason = "backend_server_refused_connection"
@@ -112,6 +113,7 @@
 	PeerSilent:        {http.StatusBadGateway, "look up whether the request took effect before you send it again"},
 	DeadlineTooNear:   {http.StatusServiceUnavailable, "try again with more time; the queue is longer than the time left"},
 	DeadlinePassed:    {http.StatusGatewayTimeout, "look up whether the request took effect before you send it again"},
+	NotJoined:         {http.StatusServiceUnavailable, "try again; the node of the backend server has just started and has not heard of the others yet"},
 	VersionHalted:     {http.StatusServiceUnavailable, "try again; the version was taken back"},
 	BackendFailing:    {http.StatusServiceUnavailable, "try again; the backend server fails its requests"},
 	BackendRefused:    {http.StatusServiceUnavailable, "try again; the backend server does not accept connections"},
