Do not write to a backend server's record that is in use

What callers saw: nothing known.

Cause: announce set the node and data centre of a record that was already the one of the backend server, while the registration in the store encoded it. With a record that came without a node, as in release mode and in a leave of an unknown backend server, a reader may see the length of a string without its content, which ends the process.

Change: a record is copied before the two are set, and only if they differ. The registration and the release mode's announcements get them in the same way.

The record of a heartbeat has both already, so there is no copy on that path.

--- a/pkg/node/host.go
+++ b/pkg/node/host.go
@@ -113,7 +113,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	n.owner.HandleAnnouncement(record)
+	n.owner.HandleAnnouncement(n.withOrigin(record))
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -13,6 +13,8 @@
 	"net"
 	"sync/atomic"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hibiscusrock/hibiscusrock/pkg/booking"
 	"github.com/hibiscusrock/hibiscusrock/pkg/bundle"
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
@@ -240,9 +242,20 @@
 	return r.GetMember().GetAddress(), true
 }
 
+// withOrigin returns the record of a backend server of this host with this node's name and
+// data centre. It does not change the record, which others may read.
+func (n *Node) withOrigin(record *wire.Endpoint) *wire.Endpoint {
+	if record.GetNode() == n.settings.Node && record.GetDataCentre() == n.settings.DataCentre {
+		return record
+	}
+	record = proto.Clone(record).(*wire.Endpoint)
+	record.Node, record.DataCentre = n.settings.Node, n.settings.DataCentre
+	return record
+}
+
 // announce publishes the record of a backend server of this host.
 func (n *Node) announce(record *wire.Endpoint) {
-	record.Node, record.DataCentre = n.settings.Node, n.settings.DataCentre
+	record = n.withOrigin(record)
 	key := fleet.EndpointKey(n.settings.Node, record.GetInstance())
 	epoch := n.members.Incarnation()
 	step := uint64(0)
--- a/pkg/node/store_bootstrapper.go
+++ b/pkg/node/store_bootstrapper.go
@@ -92,7 +92,7 @@
 func (b *storeBootstrapper) encode() []byte {
 	r := &wire.Registration{Address: b.settings.AdvertiseAddress}
 	for _, server := range b.owner.Backends() {
-		r.BackendServers = append(r.BackendServers, server.Record())
+		r.BackendServers = append(r.BackendServers, b.withOrigin(server.Record()))
 	}
 	data, err := proto.Marshal(r)
 	if err != nil {
