--- /dev/null
+++ b/review/rig2/rig.go
@@ -0,0 +1,287 @@
+// Package rig2 starts nodes as separate processes on loopback addresses for the cases of the
+// second review, with stand-ins for the platform's store, the instances and the clients.
+package rig2
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// Program is the program that the deploy file builds and runs.
+	Program = "target/hibiscusrockd"
+	// MaxBodyBytes is max-body-bytes in the examples of the users' pages.
+	MaxBodyBytes = 64 << 20
+	// Host is the host name of all routes.
+	Host = "jepu9.example"
+
+	readyTimeout  = 15 * time.Second
+	readyInterval = 100 * time.Millisecond
+	probeTimeout  = time.Second
+)
+
+// Exit statuses of a case.
+const (
+	Held      = 0
+	Broken    = 1
+	CannotRun = 2
+)
+
+// Record writes what is sent, answered and run to record.txt and to standard output.
+type Record struct {
+	mu    sync.Mutex
+	file  *os.File
+	began time.Time
+}
+
+// NewRecord creates record.txt in a folder.
+func NewRecord(folder string) (*Record, error) {
+	f, err := os.Create(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		return nil, err
+	}
+	return &Record{file: f, began: time.Now()}, nil
+}
+
+// Printf writes a line with the time since the start of the case.
+func (r *Record) Printf(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	line := fmt.Sprintf("%8.3f s  ", time.Since(r.began).Seconds()) + fmt.Sprintf(format, args...)
+	fmt.Println(line)
+	_, _ = fmt.Fprintln(r.file, line)
+}
+
+// Node is one process of the system.
+type Node struct {
+	Name, Service           string
+	Zone                    string
+	Outbound, Control, Read string
+	dir                     string
+	settings                string
+	process                 *exec.Cmd
+	ended                   chan struct{}
+}
+
+// Rig is a small deployment.
+type Rig struct {
+	*Record
+	Store *Store
+	Nodes []*Node
+	dir   string
+	next  int
+}
+
+// New returns a rig without nodes, which writes its record to a folder.
+func New(folder string) (*Rig, error) {
+	record, err := NewRecord(folder)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	store, err := NewStore()
+	if err != nil {
+		return nil, err
+	}
+	r := &Rig{Record: record, Store: store, dir: dir}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		r.Close()
+		os.Exit(CannotRun)
+	}()
+	return r, nil
+}
+
+// Trouble reports whether the case plays its disruption.
+func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
+
+// FreeAddress returns a loopback address with a port that was free.
+func FreeAddress(ip string) string {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// AddNode starts a node for an instance of a service in a zone.
+func (r *Rig) AddNode(service, zone string) (*Node, error) {
+	r.next++
+	ip := fmt.Sprintf("127.0.0.%d", 10+r.next)
+	n := &Node{Name: fmt.Sprintf("sidecar-%s-%d", zone, r.next), Service: service, Zone: zone}
+	n.dir = filepath.Join(r.dir, n.Name)
+	if err := os.MkdirAll(n.dir, 0o755); err != nil {
+		return nil, err
+	}
+	n.Outbound, n.Control, n.Read = FreeAddress(ip), FreeAddress(ip), FreeAddress(ip)
+	settings := map[string]any{
+		"node": n.Name, "data_centre": zone, "data_centres": []string{"mombasa", "kilifi"}, "source": "store",
+		"caller_service": service, "caller_address": n.Outbound, "peer_address": FreeAddress(ip), "host_address": n.Control,
+		"ready_address": n.Read, "metrics_address": FreeAddress(ip),
+		"platform":             map[string]any{"endpoints": []string{r.Store.Address}, "timeout_ms": 800},
+		"stop_timeout_seconds": 6, "stop_notice_ms": 3000, "memory_limit_mb": 48, "link_mbps": 1000,
+		"retries":  map[string]any{"ratio": 0.2, "burst": 64},
+		"usage":    map[string]any{},
+		"exposure": map[string]any{"share": 0.1, "slack": 50},
+	}
+	data, err := json.Marshal(settings)
+	if err != nil {
+		return nil, err
+	}
+	n.settings = filepath.Join(n.dir, "node.toml")
+	if err := os.WriteFile(n.settings, data, 0o600); err != nil {
+		return nil, err
+	}
+	r.Nodes = append(r.Nodes, n)
+	return n, r.StartNode(n)
+}
+
+// StartNode starts the process of a node.
+func (r *Rig) StartNode(n *Node) error {
+	log, err := os.OpenFile(filepath.Join(n.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(Program, "--config", n.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HIBISCUSROCK_SETTINGS=" + n.settings}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	n.process, n.ended = cmd, ended
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
+	r.Printf("node %s starts (service %s, outbound %s)", n.Name, n.Service, n.Outbound)
+	return nil
+}
+
+// Signal sends a signal to the process of a node.
+func (r *Rig) Signal(n *Node, s syscall.Signal) {
+	r.Printf("node %s gets %v", n.Name, s)
+	_ = n.process.Process.Signal(s)
+}
+
+// HasEnded reports whether the process of a node has ended.
+func (n *Node) HasEnded() bool {
+	select {
+	case <-n.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// AwaitEnd waits for the end of a node's process for some time and reports whether it came.
+func (n *Node) AwaitEnd(wait time.Duration) bool {
+	select {
+	case <-n.ended:
+		return true
+	case <-time.After(wait):
+		return false
+	}
+}
+
+// Log returns what a node has logged so far.
+func (n *Node) Log() string {
+	data, _ := os.ReadFile(filepath.Join(n.dir, "log"))
+	return string(data)
+}
+
+// isReady asks a node whether it is ready, as the platform does.
+func (n *Node) isReady() bool {
+	client := &http.Client{Timeout: probeTimeout}
+	resp, err := client.Get("http://" + n.Read + "/v1/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// AwaitReady waits until all nodes are ready.
+func (r *Rig) AwaitReady() bool {
+	deadline := time.Now().Add(readyTimeout)
+	for _, n := range r.Nodes {
+		for !n.isReady() {
+			if time.Now().After(deadline) {
+				r.Printf("node %s isn't ready: %s", n.Name, n.Log())
+				return false
+			}
+			time.Sleep(readyInterval)
+		}
+	}
+	r.Printf("all nodes are ready")
+	return true
+}
+
+// Close ends all processes that the rig started.
+func (r *Rig) Close() {
+	for _, n := range r.Nodes {
+		if n.process != nil && !n.HasEnded() {
+			_ = n.process.Process.Signal(syscall.SIGCONT)
+			_ = n.process.Process.Kill()
+			<-n.ended
+		}
+	}
+	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
+		for _, n := range r.Nodes {
+			_ = os.WriteFile(filepath.Join(keep, n.Name+".log"), []byte(n.Log()), 0o600)
+		}
+	}
+	_ = os.RemoveAll(r.dir)
+}
+
+// Route is a route of the configuration.
+type Route struct {
+	Name, Prefix, Kind, Service string
+	TimeoutS                    float64
+	MaxAttempts                 int
+}
+
+// Configuration returns a configuration in the form of the users' pages.
+func Configuration(version int, routes []Route) []byte {
+	type entry = map[string]any
+	var resources []entry
+	services := map[string]bool{}
+	for _, route := range routes {
+		services[route.Service] = true
+		resources = append(resources, entry{"entry-type": "routes", "metadata": entry{"name": route.Name}, "spec": entry{
+			"host": Host, "prefix": route.Prefix, "kind": route.Kind, "timeout-s": route.TimeoutS, "target-latency-s": 0.5,
+			"priority": 1, "service": route.Service, "max-attempts": route.MaxAttempts,
+		}})
+	}
+	for service := range services {
+		resources = append(resources, entry{"entry-type": "services", "metadata": entry{"name": service}, "spec": entry{"health-path": "/health", "max-connections": 130, "protocol": "h1", "tls": false}})
+	}
+	resources = append(resources, entry{"entry-type": "limits", "metadata": entry{}, "spec": entry{
+		"max-header-bytes": 16384, "max-body-bytes": MaxBodyBytes, "header-timeout-s": 3, "idle-timeout-s": 15,
+	}})
+	data, _ := json.Marshal(entry{"version": version, "resources": resources})
+	return data
+}
+
+// Short returns the first line of a text.
+func Short(text string) string {
+	line, _, _ := strings.Cut(text, "\n")
+	return line
+}
