--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -285,3 +285,6 @@
 	line, _, _ := strings.Cut(text, "\n")
 	return line
 }
+
+// PID returns the id of a node's process.
+func (n *Node) PID() int { return n.process.Process.Pid }
