--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -57,11 +56,7 @@
 
 	born     int64
 	seq      atomic.Int64
-	draining atomic.Bool
-	stopped  atomic.Bool
 	listener net.Listener
-	mu       sync.Mutex
-	conns    map[net.Conn]bool
 }
 
 // Start starts an instance that announces itself to its node.
@@ -70,50 +65,24 @@
 	if err != nil {
 		return err
 	}
-	i.listener, i.Address, i.born, i.conns = l, l.Addr().String(), time.Now().UnixMilli(), map[net.Conn]bool{}
+	i.listener, i.Address, i.born = l, l.Addr().String(), time.Now().UnixMilli()
 	go i.accept()
 	go i.beat()
 	return nil
 }
 
-// Drain lets the instance announce that it is draining, and returns whether the node
-// acknowledged that.
-func (i *Instance) Drain() bool {
-	i.draining.Store(true)
-	return i.BeatOnce()
-}
-
-// Stop ends the instance as a crash does.
-func (i *Instance) Stop() {
-	i.stopped.Store(true)
-	_ = i.listener.Close()
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c := range i.conns {
-		_ = c.Close()
-	}
-}
-
 func (i *Instance) accept() {
 	for {
 		c, err := i.listener.Accept()
 		if err != nil {
 			return
 		}
-		i.mu.Lock()
-		i.conns[c] = true
-		i.mu.Unlock()
 		go i.serveConn(c)
 	}
 }
 
 func (i *Instance) serveConn(c net.Conn) {
-	defer func() {
-		_ = c.Close()
-		i.mu.Lock()
-		delete(i.conns, c)
-		i.mu.Unlock()
-	}()
+	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
@@ -145,30 +114,24 @@
 }
 
 func (i *Instance) beat() {
-	for !i.stopped.Load() {
-		i.BeatOnce()
+	for {
+		i.beatOnce()
 		time.Sleep(beatInterval)
 	}
 }
 
-// BeatOnce sends one status report and reports whether it was acknowledged.
-func (i *Instance) BeatOnce() bool {
-	state := "ready"
-	if i.draining.Load() {
-		state = "draining"
-	}
+// beatOnce sends one status report.
+func (i *Instance) beatOnce() {
 	data, _ := json.Marshal(map[string]any{
 		"address": i.Address, "born": i.born,
 		"info":   map[string]any{"service": i.Service, "version": i.Version, "zone": i.Node.Zone, "slots": i.Slots},
-		"status": map[string]any{"state": state, "seq-no": i.seq.Add(1), "cold-left-s": 0},
+		"status": map[string]any{"state": "ready", "seq-no": i.seq.Add(1), "cold-left-s": 0},
 	})
 	client := &http.Client{Timeout: beatTimeout}
 	resp, err := client.Post("http://"+i.Node.Control+"/v1/rpc?call=instances.heartbeat&of="+i.ID, "application/json", bytes.NewReader(data))
-	if err != nil {
-		return false
+	if err == nil {
+		_ = resp.Body.Close()
 	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
 }
 
 // Chunk returns a part of a body in the chunked coding.
@@ -176,11 +139,3 @@
 	b := append([]byte(strconv.FormatInt(int64(len(p)), 16)+"\r\n"), p...)
 	return append(b, "\r\n"...)
 }
-
-// Reset resets the connection.
-func (x *Exchange) Reset() {
-	if tcp, ok := x.conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = x.conn.Close()
-}
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -110,30 +109,44 @@
 // Trouble reports whether the case plays its disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-// FreeAddress returns a loopback address with a port that was free.
-func FreeAddress(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return ""
+// freeAddresses returns loopback addresses of one IP address with ports that were free.
+func freeAddresses(ip string, count int) ([]string, error) {
+	addresses := make([]string, count)
+	for i := range addresses {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		addresses[i] = l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return addresses, nil
+}
+
+// nodeIP returns the loopback address of a node, which no other run uses at the same time.
+func nodeIP(number int) string {
+	const octets = 200
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid%octets, 1+pid/octets%octets, 10+number)
 }
 
 // AddNode starts a node for an instance of a service in a zone.
 func (r *Rig) AddNode(service, zone string) (*Node, error) {
 	r.next++
-	ip := fmt.Sprintf("127.0.0.%d", 10+r.next)
+	addresses, err := freeAddresses(nodeIP(r.next), 5)
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{Name: fmt.Sprintf("sidecar-%s-%d", zone, r.next), Service: service, Zone: zone}
 	n.dir = filepath.Join(r.dir, n.Name)
 	if err := os.MkdirAll(n.dir, 0o755); err != nil {
 		return nil, err
 	}
-	n.Outbound, n.Control, n.Read = FreeAddress(ip), FreeAddress(ip), FreeAddress(ip)
+	n.Outbound, n.Control, n.Read = addresses[0], addresses[1], addresses[2]
 	settings := map[string]any{
 		"node": n.Name, "data_centre": zone, "data_centres": []string{"mombasa", "kilifi"}, "source": "store",
-		"caller_service": service, "caller_address": n.Outbound, "peer_address": FreeAddress(ip), "host_address": n.Control,
-		"ready_address": n.Read, "metrics_address": FreeAddress(ip),
+		"caller_service": service, "caller_address": n.Outbound, "peer_address": addresses[3], "host_address": n.Control,
+		"ready_address": n.Read, "metrics_address": addresses[4],
 		"platform":             map[string]any{"endpoints": []string{r.Store.Address}, "timeout_ms": 800},
 		"stop_timeout_seconds": 6, "stop_notice_ms": 3000, "memory_limit_mb": 48, "link_mbps": 1000,
 		"retries":  map[string]any{"ratio": 0.2, "burst": 64},
@@ -279,12 +292,3 @@
 	data, _ := json.Marshal(entry{"version": version, "resources": resources})
 	return data
 }
-
-// Short returns the first line of a text.
-func Short(text string) string {
-	line, _, _ := strings.Cut(text, "\n")
-	return line
-}
-
-// PID returns the id of a node's process.
-func (n *Node) PID() int { return n.process.Process.Pid }
