--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -56,6 +56,8 @@
 
 	born     int64
 	seq      atomic.Int64
+	// reported is the status of the answer to the last status report, 0 for none.
+	reported atomic.Int64
 	listener net.Listener
 }
 
@@ -129,9 +131,12 @@
 	})
 	client := &http.Client{Timeout: beatTimeout}
 	resp, err := client.Post("http://"+i.Node.Control+"/v1/rpc?call=instances.heartbeat&of="+i.ID, "application/json", bytes.NewReader(data))
-	if err == nil {
-		_ = resp.Body.Close()
+	if err != nil {
+		i.reported.Store(0)
+		return
 	}
+	_ = resp.Body.Close()
+	i.reported.Store(int64(resp.StatusCode))
 }
 
 // Chunk returns a part of a body in the chunked coding.
--- a/review/rig2/recover.go
+++ b/review/rig2/recover.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -16,7 +15,7 @@
 	// recovery is recovery-s of the site.
 	recovery = 15 * time.Second
 	// downTime is down_s of the final fault.
-	downTime     = 2 * time.Second
+	downTime     = 1200 * time.Millisecond
 	workTime     = 30 * time.Millisecond
 	sendInterval = 20 * time.Millisecond
 	joinTime     = 5 * time.Second
@@ -42,7 +41,7 @@
 	}
 	d := &Recovery{Rig: rig, BeforeFault: func() {}, AfterFault: func() {}}
 	rig.Store.Put("op/config", Configuration(7, []Route{{Name: "history", Prefix: "/history/", Kind: "safe", Service: "ledger", TimeoutS: 2, MaxAttempts: 2}}))
-	if _, err := rig.AddNode("stockboard", "mombasa"); err != nil {
+	if err := rig.AddCallers("mombasa"); err != nil {
 		return d, err
 	}
 	for i := range 2 {
@@ -116,20 +115,26 @@
 
 // measure sends requests for some time and returns the share that is served.
 func (d *Recovery) measure(when string, span time.Duration) float64 {
-	var served, sent atomic.Int64
+	var sent int
+	var mu sync.Mutex
 	var wg sync.WaitGroup
+	statuses := map[int]int{}
 	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(sendInterval) {
 		id := fmt.Sprintf("q-%d", time.Now().UnixNano())
-		sent.Add(1)
+		sent++
 		wg.Go(func() {
-			if Get(d.Nodes[0].Outbound, "/history/", id) == http.StatusOK {
-				served.Add(1)
-			}
+			status := Get(d.Nodes[0].Outbound, "/history/", id)
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[status]++
 		})
 	}
 	wg.Wait()
-	share := float64(served.Load()) / float64(sent.Load())
-	d.Printf("%s: %d requests sent, %d served (%.3f)", when, sent.Load(), served.Load(), share)
+	share := float64(statuses[http.StatusOK]) / float64(sent)
+	d.Printf("%s: %d requests sent, %d served (%.3f); answers by status, 0 for none: %v", when, sent, statuses[http.StatusOK], share, statuses)
+	for _, i := range d.Instances {
+		d.Printf("the last status report of %s got %d", i.ID, i.reported.Load())
+	}
 	return share
 }
 
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +22,8 @@
 	Program = "target/hibiscusrockd"
 	// MaxBodyBytes is max-body-bytes in the examples of the users' pages.
 	MaxBodyBytes = 64 << 20
+	// CallersService is the service of the machine on which the callers are.
+	CallersService = "stockboard"
 	// Host is the host name of all routes.
 	Host = "jepu9.example"
 
@@ -96,6 +99,7 @@
 		return nil, err
 	}
 	r := &Rig{Record: record, Store: store, dir: dir}
+	r.Printf("the case runs (pid %d, trouble %v)", os.Getpid(), Trouble())
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -165,6 +169,19 @@
 	return n, r.StartNode(n)
 }
 
+// AddCallers starts the node of the callers, with an instance of the service CallersService.
+func (r *Rig) AddCallers(zone string) error {
+	n, err := r.AddNode(CallersService, zone)
+	if err != nil {
+		return err
+	}
+	i := &Instance{ID: "i-callers", Service: CallersService, Version: "v1", Slots: 9, Node: n, Serve: func(x *Exchange) bool {
+		_, _ = io.Copy(io.Discard, x.Request.Body)
+		return x.Answer(http.StatusOK, nil) == nil
+	}}
+	return i.Start()
+}
+
 // StartNode starts the process of a node.
 func (r *Rig) StartNode(n *Node) error {
 	log, err := os.OpenFile(filepath.Join(n.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -184,7 +201,7 @@
 		_ = cmd.Wait()
 		close(ended)
 	}()
-	r.Printf("node %s starts (service %s, outbound %s)", n.Name, n.Service, n.Outbound)
+	r.Printf("node %s starts (pid %d, service %s, outbound %s)", n.Name, cmd.Process.Pid, n.Service, n.Outbound)
 	return nil
 }
 
@@ -275,7 +292,7 @@
 func Configuration(version int, routes []Route) []byte {
 	type entry = map[string]any
 	var resources []entry
-	services := map[string]bool{}
+	services := map[string]bool{CallersService: true}
 	for _, route := range routes {
 		services[route.Service] = true
 		resources = append(resources, entry{"entry-type": "routes", "metadata": entry{"name": route.Name}, "spec": entry{
