--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -54,8 +54,8 @@
 	// Serve handles a request and reports whether the connection may be used again.
 	Serve func(*Exchange) bool
 
-	born     int64
-	seq      atomic.Int64
+	born int64
+	seq  atomic.Int64
 	// reported is the status of the answer to the last status report, 0 for none.
 	reported atomic.Int64
 	listener net.Listener
