--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -80,6 +80,8 @@
 	*Record
 	Store *Store
 	Nodes []*Node
+	// Links are between the nodes if set.
+	Links *Links
 	dir   string
 	next  int
 }
@@ -157,6 +159,11 @@
 		"usage":    map[string]any{},
 		"exposure": map[string]any{"share": 0.1, "slack": 50},
 	}
+	if r.Links != nil {
+		if settings["advertise_address"], err = r.Links.Add(addresses[3]); err != nil {
+			return nil, err
+		}
+	}
 	data, err := json.Marshal(settings)
 	if err != nil {
 		return nil, err
@@ -288,8 +295,14 @@
 	MaxAttempts                 int
 }
 
+// Tenant is a tenant of the configuration with a usage cap.
+type Tenant struct {
+	Name, Key       string
+	RatePerS, Burst float64
+}
+
 // Configuration returns a configuration in the form of the users' pages.
-func Configuration(version int, routes []Route) []byte {
+func Configuration(version int, routes []Route, tenants ...Tenant) []byte {
 	type entry = map[string]any
 	var resources []entry
 	services := map[string]bool{CallersService: true}
@@ -300,6 +313,11 @@
 			"priority": 1, "service": route.Service, "max-attempts": route.MaxAttempts,
 		}})
 	}
+	for _, tenant := range tenants {
+		resources = append(resources, entry{"entry-type": "tenants", "metadata": entry{"name": tenant.Name}, "spec": entry{
+			"api-keys": []string{tenant.Key}, "rate-per-s": tenant.RatePerS, "burst": tenant.Burst,
+		}})
+	}
 	for service := range services {
 		resources = append(resources, entry{"entry-type": "services", "metadata": entry{"name": service}, "spec": entry{"health-path": "/health", "max-connections": 130, "protocol": "h1", "tls": false}})
 	}
