--- a/review/rig2/links.go
+++ b/review/rig2/links.go
@@ -53,6 +53,7 @@
 	}
 	defer func() { _ = node.Close() }()
 	if !l.add(c, node, from.String(), ip) {
+		reset(c)
 		return
 	}
 	defer l.remove(c, node)
@@ -80,14 +81,20 @@
 	delete(l.open, node)
 }
 
-// Cut cuts a machine off, or ends the cut. Its connections are reset, and new ones closed.
+// reset closes a connection with a reset.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// Cut cuts a machine off, or ends the cut. Its connections are reset, new ones too.
 func (l *Links) Cut(ip string, cut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cut[ip] = cut
 	for c, ends := range l.open {
 		if cut && (ends[0] == ip || ends[1] == ip) {
-			_ = c.Close()
+			reset(c)
 		}
 	}
 }
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -30,6 +30,9 @@
 	readyTimeout  = 15 * time.Second
 	readyInterval = 100 * time.Millisecond
 	probeTimeout  = time.Second
+	// probeInterval and maxMisses are those of the users' platform.
+	probeInterval = time.Second
+	maxMisses     = 2
 )
 
 // Exit statuses of a case.
@@ -255,6 +258,56 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// Platform asks each node once a second whether it is ready. After two misses in a row the clients
+// of the machine get no new work until the node is ready again, unless fewer than half of the
+// zone's nodes are in.
+type Platform struct {
+	mu     sync.Mutex
+	misses map[*Node]int
+	nodes  []*Node
+}
+
+// NewPlatform begins to ask the nodes.
+func (r *Rig) NewPlatform() *Platform {
+	p := &Platform{misses: map[*Node]int{}, nodes: r.Nodes}
+	for _, n := range r.Nodes {
+		go func() {
+			for {
+				p.note(r, n, n.isReady())
+				time.Sleep(probeInterval)
+			}
+		}()
+	}
+	return p
+}
+
+func (p *Platform) note(r *Rig, n *Node, ready bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ready {
+		p.misses[n] = 0
+		return
+	}
+	p.misses[n]++
+	r.Printf("platform: node %s isn't ready (%d in a row)", n.Name, p.misses[n])
+}
+
+// MayWork reports whether the clients of a machine get new work.
+func (p *Platform) MayWork(n *Node) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	in, all := 0, 0
+	for _, other := range p.nodes {
+		if other.Zone == n.Zone {
+			all++
+			if p.misses[other] < maxMisses {
+				in++
+			}
+		}
+	}
+	return p.misses[n] < maxMisses || 2*in < all
+}
+
 // AwaitReady waits until all nodes are ready.
 func (r *Rig) AwaitReady() bool {
 	deadline := time.Now().Add(readyTimeout)
