Count and log messages between nodes that cannot be encoded

A node whose exchanges fail since one record cannot be encoded looked like one that cannot reach its peers: hibiscusrock_gossip_failures_total counts both, and the answers that a node cannot encode were counted nowhere.

The errors of the protobuf library are now counted by call, and the first one of each call is logged (peer_message_invalid).

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -50,6 +50,8 @@
 	pool   *drpcpool.Pool[string, *conn]
 	sent   atomic.Uint64
 	recv   atomic.Uint64
+
+	codecErrors *codecErrors
 }
 
 // conn is a connection to a peer and the time of the last answer received on it.
@@ -62,7 +64,7 @@
 // and a function that closes its pooled connections. secret is the deployment
 // secret that all nodes share.
 func NewClient(cm *common.Common, secret []byte, local net.IP) (*Client, func()) {
-	c := &Client{Common: cm, secret: secret, local: &net.TCPAddr{IP: local}}
+	c := &Client{Common: cm, secret: secret, local: &net.TCPAddr{IP: local}, codecErrors: newCodecErrors(cm)}
 	c.pool = drpcpool.New[string, *conn](drpcpool.Options{
 		Expiration:  idleExpiration,
 		Capacity:    maxIdleConnections,
@@ -147,7 +149,7 @@
 }
 
 // invoke runs one unary call within timeout. It closes the connection if the call fails.
-func invoke[T any](ctx context.Context, c *Client, address string, timeout time.Duration, call func(context.Context, wire.DRPCPeerClient) (T, error)) (T, error) {
+func invoke[T any](ctx context.Context, c *Client, name, address string, timeout time.Duration, call func(context.Context, wire.DRPCPeerClient) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var none T
@@ -158,6 +160,7 @@
 	out, err := call(ctx, wire.NewDRPCPeerClient(cn))
 	if err != nil {
 		_ = cn.Close()
+		c.codecErrors.report(name, err)
 		return none, fault.Wrap(err, fault.KindUnavailable, "the call to "+address+" failed", "check that the node runs and that the network reaches it")
 	}
 	c.returnConn(address, cn)
@@ -171,42 +174,42 @@
 
 // Exchange sends gossip records to a peer and returns the peer's records.
 func (c *Client) Exchange(ctx context.Context, address string, in *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
-	return invoke(ctx, c, address, gossipTimeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.ExchangeResponse, error) {
+	return invoke(ctx, c, "Exchange", address, gossipTimeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.ExchangeResponse, error) {
 		return p.Exchange(ctx, in)
 	})
 }
 
 // Compare sends bucket digests to a peer and returns the peer's records in the buckets that differ.
 func (c *Client) Compare(ctx context.Context, address string, in *wire.CompareRequest) (*wire.CompareResponse, error) {
-	return invoke(ctx, c, address, fetchTimeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.CompareResponse, error) {
+	return invoke(ctx, c, "Compare", address, fetchTimeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.CompareResponse, error) {
 		return p.Compare(ctx, in)
 	})
 }
 
 // Ping probes a peer, or another node through that peer.
 func (c *Client) Ping(ctx context.Context, address string, timeout time.Duration, in *wire.PingRequest) (*wire.PingResponse, error) {
-	return invoke(ctx, c, address, timeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.PingResponse, error) {
+	return invoke(ctx, c, "Ping", address, timeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.PingResponse, error) {
 		return p.Ping(ctx, in)
 	})
 }
 
 // TakeCredits asks a peer for credits of a client account's usage cap.
 func (c *Client) TakeCredits(ctx context.Context, address string, timeout time.Duration, in *wire.TakeCreditsRequest) (*wire.TakeCreditsResponse, error) {
-	return invoke(ctx, c, address, timeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.TakeCreditsResponse, error) {
+	return invoke(ctx, c, "TakeCredits", address, timeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.TakeCreditsResponse, error) {
 		return p.TakeCredits(ctx, in)
 	})
 }
 
 // FetchRelease fetches a release and a page of its manifest from a peer.
 func (c *Client) FetchRelease(ctx context.Context, address string, in *wire.FetchReleaseRequest) (*wire.FetchReleaseResponse, error) {
-	return invoke(ctx, c, address, fetchTimeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.FetchReleaseResponse, error) {
+	return invoke(ctx, c, "FetchRelease", address, fetchTimeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.FetchReleaseResponse, error) {
 		return p.FetchRelease(ctx, in)
 	})
 }
 
 // FetchParts fetches bundle parts from a peer.
 func (c *Client) FetchParts(ctx context.Context, address string, in *wire.FetchPartsRequest) (*wire.FetchPartsResponse, error) {
-	return invoke(ctx, c, address, fetchTimeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.FetchPartsResponse, error) {
+	return invoke(ctx, c, "FetchParts", address, fetchTimeout, func(ctx context.Context, p wire.DRPCPeerClient) (*wire.FetchPartsResponse, error) {
 		return p.FetchParts(ctx, in)
 	})
 }
@@ -270,12 +273,14 @@
 	stream, err := begin(watched, wire.NewDRPCPeerClient(cn))
 	if err != nil {
 		_ = cn.Close()
+		c.codecErrors.report("Call", err)
 		return fault.Wrap(err, fault.KindUnavailable, "cannot send the request to "+address, "")
 	}
 	for {
 		answer, err := stream.Recv()
 		if err != nil {
 			_ = cn.Close()
+			c.codecErrors.report("Call", err)
 			return c.callError(watched, address, err)
 		}
 		timer.receive(answer)
--- /dev/null
+++ b/pkg/peer/codec_errors.go
@@ -0,0 +1,34 @@
+package peer
+
+import (
+	"errors"
+	"path"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscusrock/hibiscusrock/pkg/common"
+	"github.com/hibiscusrock/hibiscusrock/pkg/event"
+)
+
+// codecErrors reports the messages between nodes that this node cannot encode or decode. It
+// counts each of them, and logs the first one of each call.
+type codecErrors struct {
+	*common.Common
+	logged sync.Map
+}
+
+func newCodecErrors(cm *common.Common) *codecErrors { return &codecErrors{Common: cm} }
+
+// report reports the error with which a call failed, unless it has another cause. rpc is the
+// full name of the call, or its last part.
+func (c *codecErrors) report(rpc string, err error) {
+	if !errors.Is(err, proto.Error) {
+		return
+	}
+	call := path.Base(rpc)
+	c.Count(`hibiscusrock_peer_codec_errors_total{call="` + call + `"}`)
+	if _, before := c.logged.LoadOrStore(call, true); !before {
+		c.Event(event.PeerMessageInvalid).WithField("call", call).WithError(err).Error("a message between nodes cannot be encoded or decoded")
+	}
+}
