Refuse calls of backend servers that are not UTF-8

One such report at each of two hosts, and a restart of the callers' node alone, is enough.

Cause: the id became the name of an endpoint, a proto3 string, which cannot be encoded. Each message with that record failed: exchanges and their answers, repairs, and the registration, whose place took an empty value.

Change: an id, and a body, that are not UTF-8 get 400 and name no instance, for status reports, deregistrations and the announcements of release mode. The JSON decoder replaced such bytes in bodies, so that another name than the sender's was used.

Of the rows of TestMalformedInput the two new ones failed before.

--- a/pkg/integration/faults_test.go
+++ b/pkg/integration/faults_test.go
@@ -232,6 +232,8 @@
 		"/v1/backend-servers/x":                          `{"service": "quote"}`,
 		"/v1/backend-servers/" + strings.Repeat("y", 90): `{"service": "quote", "version": "v1", "address": "127.0.0.1:1", "slots": 1}`,
 		"/v1/backend-servers/z":                          `{"service": "quote", "version": "v1", "address": "example:1", "slots": 1, "more": 2}`,
+		"/v1/backend-servers/%ff":                        `{"service": "quote", "version": "v1", "address": "127.0.0.1:1", "slots": 1}`,
+		"/v1/backend-servers/w":                          "{\"service\": \"qu\xffote\", \"version\": \"v1\", \"address\": \"127.0.0.1:1\", \"slots\": 1}",
 	} {
 		req, err := http.NewRequestWithContext(f.ctx, http.MethodPut, "http://"+h.HostAddress()+path, strings.NewReader(body))
 		f.must(err)
--- a/pkg/node/host.go
+++ b/pkg/node/host.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
+	"unicode/utf8"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -124,12 +127,20 @@
 func (n *Node) readAnnouncement(w http.ResponseWriter, r *http.Request) (*wire.Endpoint, error) {
 	const maxNameLength, maxSlots = 63, 100000
 	var a Announcement
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	const remedy = "send service, version, address, slots and leaving as JSON"
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.KindInvalid, "the announcement cannot be read", remedy)
+	}
+	instance := r.PathValue("instance")
+	if !utf8.ValidString(instance) || !utf8.Valid(body) {
+		return nil, fault.New(fault.KindInvalid, "the announcement or the name of its instance is not UTF-8", remedy)
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&a); err != nil {
-		return nil, fault.Wrap(err, fault.KindInvalid, "the announcement cannot be read", "send service, version, address, slots and leaving as JSON")
+		return nil, fault.Wrap(err, fault.KindInvalid, "the announcement cannot be read", remedy)
 	}
-	instance := r.PathValue("instance")
 	for _, name := range []string{instance, a.Service, a.Version} {
 		if name == "" || len(name) > maxNameLength {
 			return nil, fault.New(fault.KindInvalid, fmt.Sprintf("instance, service and version need 1 to %d characters, got %d", maxNameLength, len(name)), "correct the announcement")
