Leave records that cannot be encoded out of messages and registrations

Cause: the replica of a node took any record. One that cannot be encoded made each message with it fail: exchanges, in which the sound records beside it had been counted as sent and so were sent too seldom, and repairs for as long as it was kept. A registration with it became empty.

Change: the replica refuses a record that cannot be encoded, so that it is neither queued, counted as sent, nor part of a digest or a repair. Evidence that is sent directly and registrations leave such a record out, and nothing is written in place of a registration that cannot be encoded. Each such refusal is counted (hibiscusrock_records_unencodable_total), each record logged once (record_unencodable). A leader whose decision is refused so does not step down any more as if a newer leader had decided.

Measured: TestUnencodableRecord passes the records in behind the checks of calls.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -29,6 +29,7 @@
 	PeerChanged            Name = "peer_changed"
 	PeerNameTaken          Name = "peer_name_taken"
 	PeerMessageInvalid     Name = "peer_message_invalid"
+	RecordUnencodable      Name = "record_unencodable"
 	ConfigurationInForce   Name = "configuration_in_force"
 	ConfigurationRefused   Name = "configuration_refused"
 	ConfigurationSkipped   Name = "configuration_skipped"
@@ -90,6 +91,7 @@
 		{PeerChanged, "A node joined, failed its probes, was declared dead or left.", "member, state"},
 		{PeerNameTaken, "Another node uses the name of this node.", "other"},
 		{PeerMessageInvalid, "A message between nodes cannot be encoded or decoded; logged for the first one of each call.", "call, error"},
+		{RecordUnencodable, "A record of this node cannot be encoded. It is left out of messages and of the registration, so that no other node learns of it; logged once for each record.", "key, error"},
 		{ConfigurationInForce, "A configuration came into force on this node.", "sequence, revision, era, from"},
 		{ConfigurationRefused, "A configuration was refused; the previous one stays in force.", "sequence, revision, era, from, error"},
 		{ConfigurationSkipped, "The store offered another configuration than the one in force, which it does not replace.", "sequence, revision, era, held_revision, held_era, from"},
--- a/pkg/gossip/store.go
+++ b/pkg/gossip/store.go
@@ -40,7 +40,8 @@
 	PrefixEvacuation = "x/"
 )
 
-// Store is one node's replica of the records. It is safe for concurrent use.
+// Store is one node's replica of the records. It holds only records that can be encoded, so
+// that none of them spoils a message to other nodes. It is safe for concurrent use.
 type Store struct {
 	shards     [shardCount]shard
 	broadcasts broadcastQueue
@@ -48,6 +49,8 @@
 	onChange   []func(*wire.Record)
 	onLocal    []func(*wire.Record)
 	maxSends   func() int
+	// unencodable is called with each record that is refused because it cannot be encoded.
+	unencodable func(key string, err error)
 }
 
 // shard holds the records of every bucket whose number modulo shardCount is the
@@ -72,9 +75,15 @@
 	return func(s *Store) { s.maxSends = func() int { return bits.Len(uint(count())) + extraSends } }
 }
 
+// WithUnencodable sets the function that is called with the key of each record that the
+// store refuses because it cannot be encoded. It must not block.
+func WithUnencodable(refused func(key string, err error)) Option {
+	return func(s *Store) { s.unencodable = refused }
+}
+
 // New returns an empty store.
 func New(opts ...Option) *Store {
-	s := &Store{now: time.Now, maxSends: func() int { return extraSends }}
+	s := &Store{now: time.Now, maxSends: func() int { return extraSends }, unencodable: func(string, error) {}}
 	for i := range s.shards {
 		s.shards[i].records = make(map[string]*wire.Record)
 	}
@@ -95,7 +104,8 @@
 
 // Set stores a record that this node wrote and queues it for broadcast, unless
 // records of its kind are sent to single nodes only. It returns false if the
-// record is not newer than the one stored, has expired, or lacks a key or body.
+// record is not newer than the one stored, has expired, lacks a key or body, or
+// cannot be encoded.
 func (s *Store) Set(r *wire.Record) bool {
 	if !s.merge(r) {
 		return false
@@ -134,7 +144,11 @@
 		return false
 	}
 	bucket := bucketOf(r.GetKey())
-	if !s.shards[bucket%shardCount].replace(bucket, r) {
+	stored, err := s.shards[bucket%shardCount].replace(bucket, r)
+	if err != nil {
+		s.unencodable(r.GetKey(), err)
+	}
+	if !stored {
 		return false
 	}
 	for _, changed := range s.onChange {
@@ -144,19 +158,23 @@
 }
 
 // replace stores a record of a bucket if it is newer than the one stored, and reports
-// whether it did.
-func (sh *shard) replace(bucket int, r *wire.Record) bool {
+// whether it did. It returns an error if the record cannot be encoded.
+func (sh *shard) replace(bucket int, r *wire.Record) (bool, error) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	old := sh.records[r.GetKey()]
 	if old != nil && !Newer(r, old) {
-		return false
+		return false, nil
+	}
+	data, err := encode(r)
+	if err != nil {
+		return false, err
 	}
 	sh.records[r.GetKey()] = r
 	if isDurable(r.GetKey()) {
-		sh.digests[bucket/shardCount] ^= digestOf(old) ^ digestOf(r)
+		sh.digests[bucket/shardCount] ^= digestOf(old) ^ xxhash.Sum64(data)
 	}
-	return true
+	return true, nil
 }
 
 // internStrings lets records share the memory of names that occur in many
@@ -183,12 +201,14 @@
 	if a.GetStep() != b.GetStep() {
 		return a.GetStep() > b.GetStep()
 	}
-	return bytes.Compare(encode(a), encode(b)) > 0
+	encodedA, _ := encode(a)
+	encodedB, _ := encode(b)
+	return bytes.Compare(encodedA, encodedB) > 0
 }
 
-func encode(r *wire.Record) []byte {
-	data, _ := proto.MarshalOptions{Deterministic: true}.Marshal(r)
-	return data
+// encode returns an error for a record with a string that is not UTF-8.
+func encode(r *wire.Record) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(r)
 }
 
 func (s *Store) expired(r *wire.Record) bool {
@@ -203,6 +223,12 @@
 	return sh.records[key]
 }
 
+// HoldsNewer reports whether the store holds a newer record with the key of r.
+func (s *Store) HoldsNewer(r *wire.Record) bool {
+	held := s.Get(r.GetKey())
+	return held != nil && Newer(held, r)
+}
+
 // List returns the records whose key starts with prefix, in no particular order.
 func (s *Store) List(prefix string) []*wire.Record {
 	var found []*wire.Record
@@ -370,5 +396,6 @@
 	if r == nil {
 		return 0
 	}
-	return xxhash.Sum64(encode(r))
+	data, _ := encode(r)
+	return xxhash.Sum64(data)
 }
--- a/pkg/gossip/store_test.go
+++ b/pkg/gossip/store_test.go
@@ -10,6 +10,8 @@
 
 	"pgregory.net/rapid"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
@@ -129,3 +131,49 @@
 		t.Error("Set wrote to a record that it was given")
 	}
 }
+
+// TestUnencodableRecord guards against a record that cannot be encoded, which is kept and so
+// spoils the messages with other records, and counts as sent.
+func TestUnencodableRecord(t *testing.T) {
+	const beyondUTF8 = "\xff"
+	sound := []*wire.Record{crash("a", 1, 1), crash("b", 1, 1)}
+	tests := map[string]*wire.Record{
+		"key":         crash(beyondUTF8, 1, 1),
+		"newer":       {Key: sound[0].GetKey(), Epoch: 2, Body: &wire.Record_Crash{Crash: &wire.Crash{Node: beyondUTF8}}},
+		"endpoint":    {Key: PrefixEndpoint + "a/i", Epoch: 1, Body: &wire.Record_Endpoint{Endpoint: &wire.Endpoint{Service: beyondUTF8}}},
+		"not durable": {Key: PrefixShare + "s", Epoch: 1, Body: &wire.Record_Share{Share: &wire.Share{Service: beyondUTF8}}},
+		"addressed":   {Key: PrefixEvidence + "n", Epoch: 1, Body: &wire.Record_Evidence{Evidence: &wire.Evidence{Node: beyondUTF8}}},
+	}
+	for name, odd := range tests {
+		t.Run(name, func(t *testing.T) {
+			var refused []string
+			s, other := New(WithUnencodable(func(key string, _ error) { refused = append(refused, key) })), New()
+			for _, r := range sound {
+				s.Set(r)
+				other.Set(r)
+			}
+			if s.Set(odd) || s.Apply([]*wire.Record{odd}, true) != 0 {
+				t.Error("the record was stored")
+			}
+			if want := []string{odd.GetKey(), odd.GetKey()}; !slices.Equal(refused, want) {
+				t.Errorf("reported %q, want %q", refused, want)
+			}
+			for range extraSends {
+				batch := s.Broadcasts(1000, false)
+				if _, err := proto.Marshal(&wire.ExchangeRequest{Records: batch}); err != nil || len(batch) != len(sound) {
+					t.Errorf("got a message with %d records, %v, want %d", len(batch), err, len(sound))
+				}
+			}
+			if s.Broadcasts(1000, false); s.HasBroadcasts() {
+				t.Error("records are still queued for broadcast")
+			}
+			if s.Digest() != other.Digest() || s.Len() != other.Len() {
+				t.Errorf("got %d records with the digest %x, want %d with %x", s.Len(), s.Digest(), other.Len(), other.Digest())
+			}
+			repaired, _ := s.InBuckets(s.Differing(make([]uint64, BucketCount)), 1000)
+			if _, err := proto.Marshal(&wire.CompareResponse{Records: repaired}); err != nil || len(repaired) != len(sound) {
+				t.Errorf("got a repair with %d records, %v, want %d", len(repaired), err, len(sound))
+			}
+		})
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -59,6 +59,7 @@
 	members             *fleet.Members
 	endpoints           *fleet.Endpoints
 	evacuations         *fleet.Evacuations
+	unencodable         *unencodableRecords
 	holder              *distribution.Holder
 	crashTracker        *quarantine.CrashTracker
 	recorder            *rollout.Recorder
@@ -156,7 +157,8 @@
 
 func (n *Node) buildFleet() {
 	self := &wire.Member{Node: n.settings.Node, DataCentre: n.settings.DataCentre, Address: n.settings.AdvertiseAddress, LinkMbps: uint32(n.settings.LinkMbps)}
-	n.records = gossip.New(gossip.WithClock(n.Now), gossip.WithReceiverCount(func() int { return n.members.Len() }))
+	n.unencodable = newUnencodableRecords(n.Common)
+	n.records = gossip.New(gossip.WithClock(n.Now), gossip.WithReceiverCount(func() int { return n.members.Len() }), gossip.WithUnencodable(n.unencodable.report))
 	n.members = fleet.NewMembers(n.Common, n.records, self)
 	n.endpoints = fleet.NewEndpoints(n.records, n.members)
 	n.evacuations = fleet.NewEvacuations(n.records, n.Now, n.onEvacuation)
--- a/pkg/node/registrar.go
+++ b/pkg/node/registrar.go
@@ -34,8 +34,8 @@
 	*common.Common
 	registry registry
 	key      string
-	// encode returns this node's registration, decode the address in the
-	// registration of any node.
+	// encode returns this node's registration, or nothing if it cannot be encoded; decode
+	// the address in the registration of any node.
 	encode func() []byte
 	decode func(key string, value []byte) (address string, ok bool)
 
@@ -129,6 +129,9 @@
 		revision := r.revision
 		r.mu.Unlock()
 		content := r.encode()
+		if len(content) == 0 {
+			return false
+		}
 		written, current, err := r.registry.swap(ctx, revision, store.Write{Key: r.key, Value: content, Lease: lease})
 		if err != nil {
 			return false
--- a/pkg/node/store_bootstrapper.go
+++ b/pkg/node/store_bootstrapper.go
@@ -13,6 +13,7 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/event"
+	"github.com/hibiscusrock/hibiscusrock/pkg/fleet"
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
@@ -88,11 +89,15 @@
 	return b
 }
 
-// encode returns the registration of this node and its backend servers.
+// encode returns the registration of this node and its backend servers, without those whose
+// records cannot be encoded.
 func (b *storeBootstrapper) encode() []byte {
 	r := &wire.Registration{Address: b.settings.AdvertiseAddress}
 	for _, server := range b.owner.Backends() {
-		r.BackendServers = append(r.BackendServers, b.withOrigin(server.Record()))
+		record := b.withOrigin(server.Record())
+		if !b.unencodable.leaveOut(fleet.EndpointKey(record.GetNode(), record.GetInstance()), record) {
+			r.BackendServers = append(r.BackendServers, record)
+		}
 	}
 	data, err := proto.Marshal(r)
 	if err != nil {
--- a/pkg/node/store_shares.go
+++ b/pkg/node/store_shares.go
@@ -248,7 +248,7 @@
 		Stranded:    r.leadership.isStranded(),
 	}
 	record := &wire.Record{Key: gossip.PrefixRollout + t.order.Service, Epoch: r.leadership.epoch.Load(), Step: d.step, Body: &wire.Record_Rollout{Rollout: decision}}
-	if !r.records.Set(record) {
+	if !r.records.Set(record) && r.records.HoldsNewer(record) {
 		r.leadership.supersede()
 	}
 }
