Carry targets, identifiers and values of fields as bytes between nodes

What callers saw: a request to another host with a byte beyond UTF-8 in its path, its query, its attempt id or the value of a field got 502 answer_lost each time, also a lookup, and never ran; so did an answer with such a value, which had run. A resend under an Idempotency-Key of such an answer got claim_mismatch with the verdict not_run, although the request had run.

Cause: these were strings of proto3, which refuses such bytes, while HTTP allows them. A key cut at 256 bytes could end within a character. The claim that was to keep the answer could not be encoded, and the store got nothing in its place.

What is still a string is made by nodes, or checked where it arrives.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -237,7 +237,10 @@
 	var b bytes.Buffer
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for _, h := range r.Header {
-		b.WriteString(h.GetName() + ": " + h.GetValue() + "\r\n")
+		b.WriteString(h.GetName())
+		b.WriteString(": ")
+		b.Write(h.GetValue())
+		b.WriteString("\r\n")
 	}
 	switch {
 	case r.Stream != nil && r.StreamBytes < 0:
--- a/pkg/request/call.go
+++ b/pkg/request/call.go
@@ -160,12 +160,12 @@
 		Service:        service,
 		Route:          route.Name,
 		Method:         r.Method,
-		Target:         target,
+		Target:         []byte(target),
 		Host:           r.Host,
 		Headers:        encodeHeaders(r.Header, e.replacedHeaders(c.table)...),
 		Body:           inline,
 		Idempotent:     isIdempotent(route, r.Method, routing.ParsePath(target)),
-		IdempotencyKey: key,
+		IdempotencyKey: []byte(key),
 		Nonce:          uuid.NewString(),
 		Fingerprint:    quarantine.Fingerprint(service, r.Method, target, inline),
 		Priority:       uint32(c.priority),
@@ -180,7 +180,7 @@
 		in.Fingerprint = quarantine.FingerprintOf(service, r.Method, target, body.held.Reader())
 	}
 	if e.headers.KeepRequestID {
-		in.RequestId = r.Header.Get(e.headers.RequestID)
+		in.RequestId = []byte(r.Header.Get(e.headers.RequestID))
 		in.Nonce = ""
 	}
 	for _, status := range route.ShedStatuses {
@@ -238,7 +238,7 @@
 	c.headSent = true
 	header := c.w.Header()
 	for _, h := range answer.GetHeaders() {
-		header.Add(h.GetName(), h.GetValue())
+		header.Add(h.GetName(), string(h.GetValue()))
 	}
 	header.Set(verdict.Header, string(verdict.FromWire(answer.GetVerdict())))
 	header.Set(versionHeader, c.request.GetVersion())
--- a/pkg/request/crash_test.go
+++ b/pkg/request/crash_test.go
@@ -37,7 +37,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "i", Route: "r", Method: http.MethodGet, Target: "/", Host: "h", Idempotent: true, RemainingMs: 5000, Fingerprint: fingerprint}
+		in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "i", Route: "r", Method: http.MethodGet, Target: []byte("/"), Host: "h", Idempotent: true, RemainingMs: 5000, Fingerprint: fingerprint}
 		_ = c.Serve(ctx, in, func(*wire.CallAnswer) error { return nil })
 	}()
 	<-c.received
--- a/pkg/request/evidence_test.go
+++ b/pkg/request/evidence_test.go
@@ -99,7 +99,7 @@
 	go func() {
 		defer close(served)
 		defer leave()
-		in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "i", Route: "r", Method: http.MethodGet, Target: "/", Host: "h", Idempotent: true, RemainingMs: timeout.Milliseconds(), ShedStatuses: []int32{http.StatusServiceUnavailable}}
+		in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "i", Route: "r", Method: http.MethodGet, Target: []byte("/"), Host: "h", Idempotent: true, RemainingMs: timeout.Milliseconds(), ShedStatuses: []int32{http.StatusServiceUnavailable}}
 		_ = o.Serve(ctx, in, func(*wire.CallAnswer) error { return nil })
 	}()
 	return leave, served
@@ -134,7 +134,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			o := newServingOwner(t, func(conn net.Conn) { _, _ = conn.Write([]byte("HTTP/1.1 504 Late\r\nContent-Length: 0\r\n\r\n")) })
-			in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "i", Route: "r", Method: http.MethodGet, Target: "/", Host: "h", Idempotent: true, RemainingMs: 5000, ObjectiveMs: test.objective.Milliseconds()}
+			in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "i", Route: "r", Method: http.MethodGet, Target: []byte("/"), Host: "h", Idempotent: true, RemainingMs: 5000, ObjectiveMs: test.objective.Milliseconds()}
 			if err := o.Serve(context.Background(), in, func(*wire.CallAnswer) error { return nil }); err != nil {
 				t.Fatal(err)
 			}
--- a/pkg/request/headers.go
+++ b/pkg/request/headers.go
@@ -89,12 +89,22 @@
 		}
 	}
 	headers := make([]*wire.Header, 0, len(header))
+	// All values share one piece of memory.
+	size := 0
+	for _, values := range header {
+		for _, value := range values {
+			size += len(value)
+		}
+	}
+	all := make([]byte, 0, size)
 	for name, values := range header {
 		if skip[name] {
 			continue
 		}
 		for _, value := range values {
-			headers = append(headers, &wire.Header{Name: name, Value: value})
+			begin := len(all)
+			all = append(all, value...)
+			headers = append(headers, &wire.Header{Name: name, Value: all[begin:len(all):len(all)]})
 		}
 	}
 	return headers
--- a/pkg/request/heartbeats_test.go
+++ b/pkg/request/heartbeats_test.go
@@ -130,7 +130,7 @@
 	record := testRecord(1, 1, false)
 	record.Address = server.Listener.Addr().String()
 	o.Adopt(record)
-	in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "i", Method: http.MethodGet, Target: "/", RemainingMs: 1000, Idempotent: true}
+	in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "i", Method: http.MethodGet, Target: []byte("/"), RemainingMs: 1000, Idempotent: true}
 	for i, want := range []verdict.Reason{verdict.BackendReplaced, verdict.UnknownInstance, verdict.UnknownInstance} {
 		err := o.Serve(context.Background(), in, func(answer *wire.CallAnswer) error {
 			if got := verdict.Reason(answer.GetReason()); got != want || answer.GetVerdict() != wire.Verdict_VERDICT_NOT_RUN {
@@ -171,7 +171,7 @@
 			younger.Instance, younger.Address = "younger", server.Listener.Addr().String()
 			test.change(younger)
 			o.Heartbeat(younger, nil)
-			in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "older", Method: http.MethodGet, Target: "/", RemainingMs: 1000, Idempotent: true}
+			in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "older", Method: http.MethodGet, Target: []byte("/"), RemainingMs: 1000, Idempotent: true}
 			err := o.Serve(context.Background(), in, func(answer *wire.CallAnswer) error {
 				if got := verdict.Reason(answer.GetReason()); got != test.want {
 					t.Errorf("got %q, want %q", got, test.want)
--- a/pkg/request/incarnation.go
+++ b/pkg/request/incarnation.go
@@ -57,7 +57,7 @@
 // begin adds a request that is about to be sent.
 func (i *incarnation) begin(in *wire.CallRequest, marks []string) *exposure {
 	e := &exposure{
-		suspect: quarantine.Suspect{Fingerprint: in.GetFingerprint(), RequestID: in.GetRequestId(), Repeated: in.GetCrashes() > 0},
+		suspect: quarantine.Suspect{Fingerprint: in.GetFingerprint(), RequestID: string(in.GetRequestId()), Repeated: in.GetCrashes() > 0},
 		marks:   marks,
 	}
 	i.mu.Lock()
--- a/pkg/request/log.go
+++ b/pkg/request/log.go
@@ -34,7 +34,7 @@
 
 // logRetry logs why a request is sent to another backend server.
 func (e *Entry) logRetry(c *call, refusal *verdict.Refusal, attempt int) {
-	fields := logrus.Fields{"request": c.request.GetRequestId(), "reason": refusal.Reason(), "attempt": attempt}
+	fields := logrus.Fields{"request": string(c.request.GetRequestId()), "reason": refusal.Reason(), "attempt": attempt}
 	e.addCallFields(fields, c)
 	e.Event(event.RequestRetried).WithFields(fields).Info("request retried")
 }
@@ -45,7 +45,7 @@
 	if attempts == 1 && e.served.Add(1)%servedSampleInterval != 1 {
 		return
 	}
-	fields := logrus.Fields{"request": c.request.GetRequestId(), "attempts": attempts, "status": c.status}
+	fields := logrus.Fields{"request": string(c.request.GetRequestId()), "attempts": attempts, "status": c.status}
 	e.addCallFields(fields, c)
 	e.Event(event.RequestServed).WithFields(fields).Info("request served")
 }
@@ -102,7 +102,7 @@
 func ownerFields(in *wire.CallRequest, answer *wire.CallAnswer) logrus.Fields {
 	const microsPerMilli = 1000
 	return logrus.Fields{
-		"request":      in.GetRequestId(),
+		"request":      string(in.GetRequestId()),
 		"instance":     in.GetInstance(),
 		"version":      in.GetVersion(),
 		"route":        in.GetRoute(),
--- a/pkg/request/owner.go
+++ b/pkg/request/owner.go
@@ -296,7 +296,7 @@
 	if refusal := crashRefusal(o.crashTracker, in); refusal != nil {
 		return o.sendRefusal(b, in, refusal, send)
 	}
-	if o.claims == nil || in.GetIdempotent() || in.GetIdempotencyKey() == "" {
+	if o.claims == nil || in.GetIdempotent() || len(in.GetIdempotencyKey()) == 0 {
 		return run.do(ctx)
 	}
 	return o.runClaimed(ctx, run)
@@ -306,7 +306,7 @@
 // stored answer if it ran before.
 func (o *Owner) runClaimed(ctx context.Context, run *run) error {
 	in := run.in
-	claim, stored, refusal := o.claims.Acquire(ctx, in.GetService(), in.GetIdempotencyKey(), in.GetNonce(), contentFingerprint(in))
+	claim, stored, refusal := o.claims.Acquire(ctx, in.GetService(), string(in.GetIdempotencyKey()), in.GetNonce(), contentFingerprint(in))
 	if refusal != nil {
 		return o.sendRefusal(run.backend, in, refusal, run.send)
 	}
@@ -324,7 +324,7 @@
 	if in.GetBodyBytes() != 0 {
 		return in.GetFingerprint()
 	}
-	return quarantine.Fingerprint(in.GetService(), in.GetMethod(), in.GetTarget(), in.GetBody())
+	return quarantine.Fingerprint(in.GetService(), in.GetMethod(), string(in.GetTarget()), in.GetBody())
 }
 
 // BeginStop refuses all requests, also those that wait for a slot, that may still run
--- a/pkg/request/owner_test.go
+++ b/pkg/request/owner_test.go
@@ -60,7 +60,7 @@
 }
 
 func serveGet(o *Owner, timeout time.Duration, send func(*wire.CallAnswer) error) error {
-	in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "i", Route: "r", Method: http.MethodGet, Target: "/", Host: "h", Idempotent: true, RemainingMs: timeout.Milliseconds()}
+	in := &wire.CallRequest{Service: "s", Version: "v1", Instance: "i", Route: "r", Method: http.MethodGet, Target: []byte("/"), Host: "h", Idempotent: true, RemainingMs: timeout.Milliseconds()}
 	return o.Serve(context.Background(), in, send)
 }
 
--- a/pkg/request/run.go
+++ b/pkg/request/run.go
@@ -228,7 +228,7 @@
 		}
 		r.mismatched = true
 		r.owner.Count(`hibiscusrock_answers_crossed_total`)
-		r.owner.Event(event.AnswerMismatched).WithField("request", r.in.GetRequestId()).WithField("instance", r.in.GetInstance()).Info("answer to another request dropped")
+		r.owner.Event(event.AnswerMismatched).WithField("request", string(r.in.GetRequestId())).WithField("instance", r.in.GetInstance()).Info("answer to another request dropped")
 		if mismatched == maxMismatchedAnswers {
 			answer.Close()
 			return nil, errMismatchedAnswers
@@ -266,26 +266,26 @@
 
 func (r *run) newRequest() *backend.Request {
 	h := r.owner.headers
-	r.requestID = r.in.GetRequestId()
+	r.requestID = string(r.in.GetRequestId())
 	if !h.KeepRequestID {
 		r.requestID = uuid.NewString()
 	}
 	left := max(r.deadline.Sub(r.owner.Now()), time.Millisecond)
 	headers := slices.Clone(r.in.GetHeaders())
-	for _, own := range []*wire.Header{
-		{Name: h.RequestID, Value: r.requestID},
-		{Name: h.RemainingMS, Value: strconv.FormatInt(left.Milliseconds(), 10)},
-		{Name: h.Caller, Value: r.in.GetCaller()},
-		{Name: h.Account, Value: r.in.GetAccount()},
-		{Name: h.ExpectedInstance, Value: r.record.GetInstance()},
+	for _, own := range []struct{ name, value string }{
+		{h.RequestID, r.requestID},
+		{h.RemainingMS, strconv.FormatInt(left.Milliseconds(), 10)},
+		{h.Caller, r.in.GetCaller()},
+		{h.Account, r.in.GetAccount()},
+		{h.ExpectedInstance, r.record.GetInstance()},
 	} {
-		if own.GetName() != "" && own.GetValue() != "" {
-			headers = append(headers, own)
+		if own.name != "" && own.value != "" {
+			headers = append(headers, &wire.Header{Name: own.name, Value: []byte(own.value)})
 		}
 	}
 	req := &backend.Request{
 		Method:        r.in.GetMethod(),
-		Target:        r.in.GetTarget(),
+		Target:        string(r.in.GetTarget()),
 		Host:          r.in.GetHost(),
 		Header:        headers,
 		Body:          r.in.GetBody(),
