Keep a claim whose answer cannot be encoded

Cause: an error of the encoder was ignored, so the store got an empty value in place of the claim, and a resend was told claim_mismatch, not_run, of a request that had run.

Change: a claim that cannot be encoded is not written: the request does not begin, or its resends get the verdict unknown.

Measured: TestUnencodableAnswer got claim_mismatch before, passes now.

--- a/pkg/booking/claims.go
+++ b/pkg/booking/claims.go
@@ -93,7 +93,11 @@
 	if err != nil {
 		return store.KeyValue{}, false, c.claims.unavailable()
 	}
-	swapped, present, err := c.claims.store.Swap(ctx, 0, store.Write{Key: c.key, Value: c.encode(), Lease: lease})
+	content, err := c.encode()
+	if err != nil {
+		return store.KeyValue{}, false, c.claims.unavailable()
+	}
+	swapped, present, err := c.claims.store.Swap(ctx, 0, store.Write{Key: c.key, Value: content, Lease: lease})
 	if err == nil && swapped {
 		c.revision = present.ModRevision
 		return store.KeyValue{}, false, nil
@@ -203,9 +207,13 @@
 	c.document.Status = status
 	ctx, cancel := context.WithTimeout(context.Background(), updateTimeout)
 	defer cancel()
-	lease, err := c.claims.store.Lease(ctx)
+	content, err := c.encode()
+	lease := int64(0)
 	if err == nil {
-		_, _, err = c.claims.store.Swap(ctx, c.revision, store.Write{Key: c.key, Value: c.encode(), Lease: lease})
+		lease, err = c.claims.store.Lease(ctx)
+	}
+	if err == nil {
+		_, _, err = c.claims.store.Swap(ctx, c.revision, store.Write{Key: c.key, Value: content, Lease: lease})
 	}
 	if err != nil {
 		c.claims.Count(`hibiscusrock_claims_unfinished_total`)
@@ -226,10 +234,7 @@
 	c.claims.Count(`hibiscusrock_claims_unreleased_total`)
 }
 
-func (c *Claim) encode() []byte {
-	data, _ := proto.Marshal(c.document)
-	return data
-}
+func (c *Claim) encode() ([]byte, error) { return proto.Marshal(c.document) }
 
 func decode(data []byte) *wire.Claim {
 	document := &wire.Claim{}
--- a/pkg/booking/claims_test.go
+++ b/pkg/booking/claims_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/store"
+	"github.com/hibiscusrock/hibiscusrock/pkg/verdict"
 	"github.com/hibiscusrock/hibiscusrock/pkg/wire"
 )
 
@@ -43,3 +44,21 @@
 		t.Errorf("got the answer %d %q with %q, want 200 with %q", kept.GetStatus(), kept.GetBody(), got, value)
 	}
 }
+
+// TestUnencodableAnswer guards against a claim that is overwritten with nothing because the
+// answer cannot be encoded.
+func TestUnencodableAnswer(t *testing.T) {
+	const key, fingerprint = "order", "f"
+	memory := newMemoryStore()
+	first, _, refusal := NewClaims(common.New(), memory, "a").Acquire(t.Context(), "quotes", key, "first", fingerprint)
+	if refusal != nil {
+		t.Fatal(refusal.Reason())
+	}
+	first.Finish(200, []*wire.Header{{Name: "\xff"}}, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), pollInterval)
+	defer cancel()
+	_, _, refusal = NewClaims(common.New(), memory, "b").Acquire(ctx, "quotes", key, "second", fingerprint)
+	if refusal == nil || refusal.Verdict() != verdict.Unknown {
+		t.Errorf("got the refusal %v of the resend, want one with the verdict unknown", refusal)
+	}
+}
