--- a/pkg/gossip/store_test.go
+++ b/pkg/gossip/store_test.go
@@ -132,10 +132,12 @@
 	}
 }
 
+// beyondUTF8 can be encoded in no string of a record.
+const beyondUTF8 = "\xff"
+
 // TestUnencodableRecord guards against a record that cannot be encoded, which is kept and so
 // spoils the messages with other records, and counts as sent.
 func TestUnencodableRecord(t *testing.T) {
-	const beyondUTF8 = "\xff"
 	sound := []*wire.Record{crash("a", 1, 1), crash("b", 1, 1)}
 	tests := map[string]*wire.Record{
 		"key":         crash(beyondUTF8, 1, 1),
@@ -147,33 +149,46 @@
 	for name, odd := range tests {
 		t.Run(name, func(t *testing.T) {
 			var refused []string
-			s, other := New(WithUnencodable(func(key string, _ error) { refused = append(refused, key) })), New()
-			for _, r := range sound {
-				s.Set(r)
-				other.Set(r)
-			}
+			s := newStoreOf(sound, WithUnencodable(func(key string, _ error) { refused = append(refused, key) }))
+			other := newStoreOf(sound)
 			if s.Set(odd) || s.Apply([]*wire.Record{odd}, true) != 0 {
 				t.Error("the record was stored")
 			}
 			if want := []string{odd.GetKey(), odd.GetKey()}; !slices.Equal(refused, want) {
 				t.Errorf("reported %q, want %q", refused, want)
 			}
-			for range extraSends {
-				batch := s.Broadcasts(1000, false)
-				if _, err := proto.Marshal(&wire.ExchangeRequest{Records: batch}); err != nil || len(batch) != len(sound) {
-					t.Errorf("got a message with %d records, %v, want %d", len(batch), err, len(sound))
-				}
-			}
-			if s.Broadcasts(1000, false); s.HasBroadcasts() {
-				t.Error("records are still queued for broadcast")
-			}
 			if s.Digest() != other.Digest() || s.Len() != other.Len() {
 				t.Errorf("got %d records with the digest %x, want %d with %x", s.Len(), s.Digest(), other.Len(), other.Digest())
 			}
-			repaired, _ := s.InBuckets(s.Differing(make([]uint64, BucketCount)), 1000)
-			if _, err := proto.Marshal(&wire.CompareResponse{Records: repaired}); err != nil || len(repaired) != len(sound) {
-				t.Errorf("got a repair with %d records, %v, want %d", len(repaired), err, len(sound))
-			}
+			checkMessages(t, s, len(sound))
 		})
 	}
 }
+
+// newStoreOf returns a store to which records were written.
+func newStoreOf(records []*wire.Record, opts ...Option) *Store {
+	s := New(opts...)
+	for _, r := range records {
+		s.Set(r)
+	}
+	return s
+}
+
+// checkMessages checks that broadcasts and a repair can be encoded, that each of them holds
+// the wanted number of records, and that the broadcasts end.
+func checkMessages(t *testing.T, s *Store, want int) {
+	t.Helper()
+	for range extraSends {
+		batch := s.Broadcasts(1000, false)
+		if _, err := proto.Marshal(&wire.ExchangeRequest{Records: batch}); err != nil || len(batch) != want {
+			t.Errorf("got a message with %d records, %v, want %d", len(batch), err, want)
+		}
+	}
+	if s.Broadcasts(1000, false); s.HasBroadcasts() {
+		t.Error("records are still queued for broadcast")
+	}
+	repaired, _ := s.InBuckets(s.Differing(make([]uint64, BucketCount)), 1000)
+	if _, err := proto.Marshal(&wire.CompareResponse{Records: repaired}); err != nil || len(repaired) != want {
+		t.Errorf("got a repair with %d records, %v, want %d", len(repaired), err, want)
+	}
+}
--- a/pkg/peer/codec_errors_test.go
+++ b/pkg/peer/codec_errors_test.go
@@ -42,27 +42,9 @@
 	for name, in := range tests {
 		t.Run(name, func(t *testing.T) {
 			const counter = `hibiscusrock_peer_codec_errors_total{call="Exchange"} 2`
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
 			var log, metrics bytes.Buffer
 			cm := logged(&log)
-			server, err := NewServer(cm, []byte("secret"), &unencodablePeer{})
-			if err != nil {
-				t.Fatal(err)
-			}
-			ctx, cancel := context.WithCancel(t.Context())
-			done := server.Serve(ctx, listener)
-			client, cleanUp := NewClient(cm, []byte("secret"), nil)
-			for range 2 {
-				if _, err := client.Exchange(t.Context(), listener.Addr().String(), in); err == nil {
-					t.Error("a message that cannot be encoded was exchanged")
-				}
-			}
-			cleanUp()
-			cancel()
-			<-done
+			exchangeTwice(t, cm, in)
 			if cm.Metrics().WritePrometheus(&metrics); !strings.Contains(metrics.String(), counter) {
 				t.Errorf("got the metrics\n%s\nwant %s", metrics.String(), counter)
 			}
@@ -72,3 +54,27 @@
 		})
 	}
 }
+
+// exchangeTwice sends a message to an unencodablePeer, which must fail.
+func exchangeTwice(t *testing.T, cm *common.Common, in *wire.ExchangeRequest) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := NewServer(cm, []byte("secret"), &unencodablePeer{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := server.Serve(ctx, listener)
+	client, cleanUp := NewClient(cm, []byte("secret"), nil)
+	for range 2 {
+		if _, err := client.Exchange(t.Context(), listener.Addr().String(), in); err == nil {
+			t.Error("a message that cannot be encoded was exchanged")
+		}
+	}
+	cleanUp()
+	cancel()
+	<-done
+}
