Name mustOmit after what it decides

Cause: leaveOut read as an action; it returns whether a record has to be left out.

Change: the name, and comments of both reports.

--- a/pkg/node/gossiper.go
+++ b/pkg/node/gossiper.go
@@ -165,7 +165,7 @@
 // queueForRelays queues a record that goes to the relays of this data centre
 // only.
 func (g *gossiper) queueForRelays(r *wire.Record) {
-	if g.unencodable.leaveOut(r.GetKey(), r) {
+	if g.unencodable.mustOmit(r.GetKey(), r) {
 		return
 	}
 	select {
@@ -211,7 +211,7 @@
 
 // sendTo sends a record to one node only.
 func (g *gossiper) sendTo(ctx context.Context, address string, record *wire.Record) {
-	if g.unencodable.leaveOut(record.GetKey(), record) {
+	if g.unencodable.mustOmit(record.GetKey(), record) {
 		return
 	}
 	g.sendMessage(ctx, address, g.baseRequest([]*wire.Record{record}))
--- a/pkg/node/store_bootstrapper.go
+++ b/pkg/node/store_bootstrapper.go
@@ -95,7 +95,7 @@
 	r := &wire.Registration{Address: b.settings.AdvertiseAddress}
 	for _, server := range b.owner.Backends() {
 		record := b.withOrigin(server.Record())
-		if !b.unencodable.leaveOut(fleet.EndpointKey(record.GetNode(), record.GetInstance()), record) {
+		if !b.unencodable.mustOmit(fleet.EndpointKey(record.GetNode(), record.GetInstance()), record) {
 			r.BackendServers = append(r.BackendServers, record)
 		}
 	}
--- a/pkg/node/unencodable.go
+++ b/pkg/node/unencodable.go
@@ -10,7 +10,7 @@
 	"github.com/hibiscusrock/hibiscusrock/pkg/event"
 )
 
-// maxLoggedRecords bounds the keys that are kept to log each record once.
+// maxLoggedRecords bounds the records that are logged. Further ones are only counted.
 const maxLoggedRecords = 256
 
 // unencodableRecords reports the records that this node leaves out of its messages and of
@@ -26,8 +26,9 @@
 	return &unencodableRecords{Common: cm, logged: make(map[string]bool)}
 }
 
-// leaveOut reports whether a message cannot be encoded. key is that of its record.
-func (u *unencodableRecords) leaveOut(key string, message proto.Message) bool {
+// mustOmit reports whether a message has to be left out because it cannot be encoded, and
+// reports it then. key is that of its record.
+func (u *unencodableRecords) mustOmit(key string, message proto.Message) bool {
 	_, err := proto.Marshal(message)
 	if err != nil {
 		u.report(key, err)
@@ -35,7 +36,7 @@
 	return err != nil
 }
 
-// report reports the record with a key, which cannot be encoded.
+// report counts and logs the record with a key, which cannot be encoded.
 func (u *unencodableRecords) report(key string, err error) {
 	u.Count(`hibiscusrock_records_unencodable_total`)
 	u.mu.Lock()
--- a/pkg/peer/codec_errors.go
+++ b/pkg/peer/codec_errors.go
@@ -20,7 +20,7 @@
 
 func newCodecErrors(cm *common.Common) *codecErrors { return &codecErrors{Common: cm} }
 
-// report reports the error with which a call failed, unless it has another cause. rpc is the
+// report counts and logs the error of a failed call if it is one of the encoding. rpc is the
 // full name of the call, or its last part.
 func (c *codecErrors) report(rpc string, err error) {
 	if !errors.Is(err, proto.Error) {
