Report codec errors in a handler of their own

Cause: recoveringHandler contained panics and, since, also counted messages that cannot be encoded; its name said only the first. That the set of logged calls is bounded by the protocol stood nowhere.

Change: reportingHandler, beside codecErrors; a comment with the bound.

Measured: no behaviour changed; TestCodecErrors and the tests of peer pass, make lint passes.

--- a/pkg/peer/codec_errors.go
+++ b/pkg/peer/codec_errors.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
 
 	"github.com/hibiscusrock/hibiscusrock/pkg/common"
 	"github.com/hibiscusrock/hibiscusrock/pkg/event"
@@ -15,6 +16,7 @@
 // counts each of them, and logs the first one of each call.
 type codecErrors struct {
 	*common.Common
+	// logged holds names of calls, at most those of the protocol.
 	logged sync.Map
 }
 
@@ -32,3 +34,17 @@
 		c.Event(event.PeerMessageInvalid).WithField("call", call).WithError(err).Error("a message between nodes cannot be encoded or decoded")
 	}
 }
+
+// reportingHandler reports the calls of other nodes whose messages cannot be encoded or
+// decoded.
+type reportingHandler struct {
+	next        drpc.Handler
+	codecErrors *codecErrors
+}
+
+// HandleRPC implements drpc.Handler.
+func (h *reportingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	err := h.next.HandleRPC(stream, rpc)
+	h.codecErrors.report(rpc, err)
+	return err
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -42,7 +42,7 @@
 	return &Server{
 		Common:  cm,
 		secret:  secret,
-		server:  drpcserver.NewWithOptions(&recoveringHandler{Common: cm, next: mux, codecErrors: newCodecErrors(cm)}, drpcserver.Options{Manager: managerOptions()}),
+		server:  drpcserver.NewWithOptions(&recoveringHandler{Common: cm, next: &reportingHandler{next: mux, codecErrors: newCodecErrors(cm)}}, drpcserver.Options{Manager: managerOptions()}),
 		limiter: rate.NewLimiter(maxHandshakesPerSecond, maxHandshakeBurst),
 		open:    make(map[net.Conn]bool),
 	}, nil
@@ -95,8 +95,7 @@
 // one message does not end the process.
 type recoveringHandler struct {
 	*common.Common
-	next        drpc.Handler
-	codecErrors *codecErrors
+	next drpc.Handler
 }
 
 // HandleRPC implements drpc.Handler.
@@ -109,9 +108,7 @@
 		h.ReportPanic("peer call", reason)
 		err = fault.New(fault.KindInternal, "the handler of "+rpc+" panicked", "see the log of the node that was called")
 	}()
-	err = h.next.HandleRPC(stream, rpc)
-	h.codecErrors.report(rpc, err)
-	return err
+	return h.next.HandleRPC(stream, rpc)
 }
 
 func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
