Let the check for records that cannot be encoded only check

Cause: mustOmit decided whether a record is left out, and counted and logged it as well, so that its three callers read as if they only asked.

Change: checkEncodable returns the error; the callers report it.

--- a/pkg/node/gossiper.go
+++ b/pkg/node/gossiper.go
@@ -165,7 +165,8 @@
 // queueForRelays queues a record that goes to the relays of this data centre
 // only.
 func (g *gossiper) queueForRelays(r *wire.Record) {
-	if g.unencodable.mustOmit(r.GetKey(), r) {
+	if err := checkEncodable(r); err != nil {
+		g.unencodable.report(r.GetKey(), err)
 		return
 	}
 	select {
@@ -211,7 +212,8 @@
 
 // sendTo sends a record to one node only.
 func (g *gossiper) sendTo(ctx context.Context, address string, record *wire.Record) {
-	if g.unencodable.mustOmit(record.GetKey(), record) {
+	if err := checkEncodable(record); err != nil {
+		g.unencodable.report(record.GetKey(), err)
 		return
 	}
 	g.sendMessage(ctx, address, g.baseRequest([]*wire.Record{record}))
--- a/pkg/node/store_bootstrapper.go
+++ b/pkg/node/store_bootstrapper.go
@@ -95,9 +95,11 @@
 	r := &wire.Registration{Address: b.settings.AdvertiseAddress}
 	for _, server := range b.owner.Backends() {
 		record := b.withOrigin(server.Record())
-		if !b.unencodable.mustOmit(fleet.EndpointKey(record.GetNode(), record.GetInstance()), record) {
-			r.BackendServers = append(r.BackendServers, record)
+		if err := checkEncodable(record); err != nil {
+			b.unencodable.report(fleet.EndpointKey(record.GetNode(), record.GetInstance()), err)
+			continue
 		}
+		r.BackendServers = append(r.BackendServers, record)
 	}
 	data, err := proto.Marshal(r)
 	if err != nil {
--- a/pkg/node/unencodable.go
+++ b/pkg/node/unencodable.go
@@ -26,14 +26,10 @@
 	return &unencodableRecords{Common: cm, logged: make(map[string]bool)}
 }
 
-// mustOmit reports whether a message has to be left out because it cannot be encoded, and
-// reports it then. key is that of its record.
-func (u *unencodableRecords) mustOmit(key string, message proto.Message) bool {
+// checkEncodable returns an error if a message cannot be encoded.
+func checkEncodable(message proto.Message) error {
 	_, err := proto.Marshal(message)
-	if err != nil {
-		u.report(key, err)
-	}
-	return err != nil
+	return err
 }
 
 // report counts and logs the record with a key, which cannot be encoded.
