--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -6,8 +6,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// TestBytesOnTheWire guards against fields of any bytes that nodes of before, which took
-// them for strings, cannot read.
+// TestBytesOnTheWire guards against an encoding of the byte fields that nodes of an earlier
+// version, in which they were strings, cannot read.
 func TestBytesOnTheWire(t *testing.T) {
 	tests := map[string]struct {
 		message proto.Message
