Refuse ids of instances with control bytes

What instances saw: after a status report whose id holds a line end, the requests to the address that the report names carry a field of the reporter's choice.

Cause: nodes write the id into the head of each request, as the instance that they expect, and took any byte in it. The class is that of: bytes from outside in a place that cannot hold them.

The check is the one of callers' fields, now common.IsFieldValue.

--- a/pkg/common/field_names.go
+++ b/pkg/common/field_names.go
@@ -19,6 +19,18 @@
 	return nil
 }
 
+// IsFieldValue reports whether a value of a field has no control bytes but tabs. Others may
+// end its line, so that what follows becomes a field of its own.
+func IsFieldValue(value string) bool {
+	const del = 0x7f
+	for _, b := range []byte(value) {
+		if b < ' ' && b != '\t' || b == del {
+			return false
+		}
+	}
+	return true
+}
+
 // IsVisible reports whether r is neither a blank nor a control byte.
 func IsVisible(r rune) bool {
 	const del = 0x7f
--- a/pkg/listener/request.go
+++ b/pkg/listener/request.go
@@ -218,7 +218,7 @@
 			return errHeaderName
 		}
 		for _, value := range values {
-			if !isValidValue(value) {
+			if !common.IsFieldValue(value) {
 				return errHeaderValue
 			}
 		}
@@ -251,18 +251,6 @@
 	return text != ""
 }
 
-// isValidValue reports whether a header value has no control characters, which
-// some backend servers would take as the end of a line.
-func isValidValue(value string) bool {
-	const del = 0x7f
-	for _, b := range []byte(value) {
-		if b < ' ' && b != '\t' || b == del {
-			return false
-		}
-	}
-	return true
-}
-
 // arrivalContext is the context of a request together with its time of arrival.
 type arrivalContext struct {
 	context.Context
--- a/pkg/node/store_bootstrapper.go
+++ b/pkg/node/store_bootstrapper.go
@@ -152,7 +152,7 @@
 func (b *storeBootstrapper) isOwn(record *wire.Endpoint) bool {
 	_, err := netip.ParseAddrPort(record.GetAddress())
 	isUsable := err == nil || record.GetDraining()
-	return record.GetNode() == b.settings.Node && record.GetInstance() != "" && isUsable
+	return record.GetNode() == b.settings.Node && record.GetInstance() != "" && common.IsFieldValue(record.GetInstance()) && isUsable
 }
 
 // hasJoined reports whether this node has received from the deployment what an
